--- /dev/null
+++ b/internal/rtdocument/document.go
@@ -0,0 +1,97 @@
+// Package rtdocument holds the published document: what operators publish on
+// the platform's configuration service and every process has in force.
+package rtdocument
+
+import "github.com/rhubarbtally/rhubarbtally/internal/rtid"
+
+// MaxSize is the largest value that the configuration service holds.
+const MaxSize rtid.Bytes = 1 << 20
+
+// Document is the configuration of the whole fleet.
+type Document struct {
+	Revision      rtid.Revision  `json:"revision"`      // greater than Base
+	Base          rtid.Revision  `json:"base"`          // revision this one was made from; 0 for the first
+	Organisations []Organisation `json:"organisations"` // unique names, sorted
+	Services      []Service      `json:"services"`      // unique names, sorted
+	Zones         []Zone         `json:"zones"`         // unique names, sorted
+}
+
+// Organisation is a customer and what it may reach.
+type Organisation struct {
+	Name     rtid.Organisation `json:"name"`
+	Services []rtid.Service    `json:"services"` // each declared in Document.Services, sorted
+	Share    float64           `json:"share"`    // planned share of each of its services, in (0, 1]
+}
+
+// Kind tells how a service is called.
+type Kind string
+
+// The kinds of services.
+const (
+	KindDraft Kind = "draft" // drafting at engines, streamed, safe to repeat
+	KindOrder Kind = "order" // plain service whose calls must not be repeated
+)
+
+// Service is something that organisations reach and targets serve.
+type Service struct {
+	Name  rtid.Service `json:"name"`
+	Kind  Kind         `json:"kind"`
+	Model rtid.Model   `json:"model,omitempty"` // set for KindDraft only
+}
+
+// State tells whether an availability zone takes new work.
+type State string
+
+// The states of an availability zone.
+const (
+	StateIn  State = "in"
+	StateOut State = "out"
+)
+
+// Zone is an availability zone with its planned capacity.
+type Zone struct {
+	Name     rtid.Zone                `json:"name"`
+	State    State                    `json:"state"`
+	Capacity map[rtid.Service]float64 `json:"capacity"` // requests per second by service, not negative
+}
+
+// ZoneState returns the state of a zone. A zone that the document does not
+// name is out, because nothing was planned for it.
+func (d *Document) ZoneState(name rtid.Zone) State {
+	for i := range d.Zones {
+		if d.Zones[i].Name == name {
+			return d.Zones[i].State
+		}
+	}
+	return StateOut
+}
+
+// Organisation returns the organisation of that name, or nil.
+func (d *Document) Organisation(name rtid.Organisation) *Organisation {
+	for i := range d.Organisations {
+		if d.Organisations[i].Name == name {
+			return &d.Organisations[i]
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (d *Document) Service(name rtid.Service) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
+		}
+	}
+	return nil
+}
+
+// Allows reports whether the organisation may reach the service.
+func (o *Organisation) Allows(service rtid.Service) bool {
+	for _, name := range o.Services {
+		if name == service {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rtid/id.go
@@ -0,0 +1,98 @@
+// Package rtid declares the named types of identifiers and units that the
+// other packages share.
+package rtid
+
+import "time"
+
+// Organisation is the name of an organisation as the planners' sheet gives it.
+type Organisation string
+
+// Service is the name of a service that organisations may reach.
+type Service string
+
+// Model is the name of a model that an engine serves.
+type Model string
+
+// Target is the name of a target: an engine or a plain service.
+type Target string
+
+// Zone is the name of an availability zone.
+type Zone string
+
+// VM is the name of a virtual machine in the platform's list.
+type VM string
+
+// Request identifies one request over all entries and agents.
+type Request string
+
+// Address is host and port of a listener, with the host as an IP address.
+type Address string
+
+// Attempt numbers the offers of one request, from 1.
+type Attempt uint32
+
+// Incarnation identifies one start of a process. A later start has a higher
+// number. Agents send theirs to targets as the fencing number.
+type Incarnation uint64
+
+// NewIncarnation returns the incarnation of a process that starts at now: its
+// wall clock in milliseconds, which rises across restarts without a disk.
+func NewIncarnation(now time.Time) Incarnation {
+	return Incarnation(now.UnixMilli())
+}
+
+// Epoch numbers the groups of ledger records of one incarnation.
+type Epoch uint32
+
+// Version is the platform's version of the published document. Zero means
+// that no document is known.
+type Version uint64
+
+// Revision is the planners' own number of a document.
+type Revision uint64
+
+// Tokens counts model tokens.
+type Tokens int64
+
+// Bytes counts bytes.
+type Bytes int64
+
+// bytesPerToken is the average for English text that callers are billed by.
+// Engines report exact counts; admission only needs an estimate.
+const bytesPerToken = 4
+
+// EstimateTokens returns the estimated number of tokens of a prompt of the
+// given size, at least 1.
+func EstimateTokens(size Bytes) Tokens {
+	return Tokens(max(1, (size+bytesPerToken-1)/bytesPerToken))
+}
+
+// Class groups prompts by length.
+type Class int
+
+// The length classes, shortest first.
+const (
+	ClassShort  Class = iota // short
+	ClassMedium              // medium
+	ClassLong                // long
+)
+
+// Upper limits of the length classes.
+const (
+	ShortLimit  Tokens = 4 << 10
+	MediumLimit Tokens = 64 << 10
+)
+
+// ClassOf returns the length class of a prompt.
+func ClassOf(prompt Tokens) Class {
+	switch {
+	case prompt <= ShortLimit:
+		return ClassShort
+	case prompt <= MediumLimit:
+		return ClassMedium
+	default:
+		return ClassLong
+	}
+}
+
+//go:generate go tool -modfile=../../tools/go.mod stringer -type=Class -linecomment
--- /dev/null
+++ b/internal/rtid/request.go
@@ -0,0 +1,110 @@
+package rtid
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind tells drafts and orders apart in a request id.
+type Kind string
+
+// The kinds of requests.
+const (
+	KindDraft Kind = "d"
+	KindOrder Kind = "o"
+)
+
+// maxNameLength bounds the name of a target inside a request id.
+const maxNameLength = 64
+
+// nonceSize makes ids of different callers collide with probability below
+// 2^-64 over the life of the fleet, and impossible to guess.
+const nonceSize = 16
+
+// Home is what a request id names: the only agent incarnation that may run
+// the request, and the organisation that may ask for it.
+type Home struct {
+	Kind        Kind
+	Target      Target
+	Incarnation Incarnation
+	Epoch       Epoch
+	Digest      uint32 // of the organisation's name
+}
+
+// DigestOf returns the digest of an organisation's name in a request id.
+func DigestOf(organisation Organisation) uint32 {
+	return uint32(xxhash.Sum64String(string(organisation)))
+}
+
+// Owns reports whether the request id was handed out to the organisation.
+func (h Home) Owns(organisation Organisation) bool {
+	return h.Digest == DigestOf(organisation)
+}
+
+// NewRequest returns a fresh id for a request whose home is h. The target's
+// name must be valid by ValidName.
+func NewRequest(h Home) Request {
+	var nonce [nonceSize]byte
+	// rand.Read never returns an error.
+	_, _ = rand.Read(nonce[:])
+	return Request(fmt.Sprintf("%s.%s.%x.%x.%08x.%s",
+		h.Kind, h.Target, uint64(h.Incarnation), uint32(h.Epoch), h.Digest, hex.EncodeToString(nonce[:])))
+}
+
+// ValidName reports whether a name of a target, VM, zone, organisation or
+// service is short enough and free of characters with a meaning in ids, URLs
+// and headers.
+func ValidName(name string) bool {
+	if name == "" || len(name) > maxNameLength {
+		return false
+	}
+	for _, c := range []byte(name) {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '-', c == '_':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// ParseRequest returns the home that a request id names.
+func ParseRequest(request Request) (Home, error) {
+	var home Home
+	parts := strings.Split(string(request), ".")
+	if len(parts) != 6 {
+		return home, fmt.Errorf("request id has %d parts, want 6", len(parts))
+	}
+	home.Kind = Kind(parts[0])
+	if home.Kind != KindDraft && home.Kind != KindOrder {
+		return home, fmt.Errorf("request id has kind %q, want %q or %q", parts[0], KindDraft, KindOrder)
+	}
+	if !ValidName(parts[1]) {
+		return home, fmt.Errorf("request id has no valid target")
+	}
+	home.Target = Target(parts[1])
+	incarnation, err := strconv.ParseUint(parts[2], 16, 64)
+	if err != nil {
+		return home, fmt.Errorf("incarnation of request id: %w", err)
+	}
+	home.Incarnation = Incarnation(incarnation)
+	epoch, err := strconv.ParseUint(parts[3], 16, 32)
+	if err != nil {
+		return home, fmt.Errorf("epoch of request id: %w", err)
+	}
+	home.Epoch = Epoch(epoch)
+	digest, err := strconv.ParseUint(parts[4], 16, 32)
+	if err != nil {
+		return home, fmt.Errorf("organisation of request id: %w", err)
+	}
+	home.Digest = uint32(digest)
+	if len(parts[5]) != 2*nonceSize {
+		return home, fmt.Errorf("request id has a random part of %d characters, want %d", len(parts[5]), 2*nonceSize)
+	}
+	return home, nil
+}
--- /dev/null
+++ b/internal/rtid/request_test.go
@@ -0,0 +1,35 @@
+package rtid
+
+import "testing"
+
+// Guards against an id that names another home after a round trip, and
+// against ids that callers made up.
+func TestParseRequest(t *testing.T) {
+	home := Home{Kind: KindOrder, Target: "filing-1", Incarnation: 1764800000000, Epoch: 3, Digest: DigestOf("kavango")}
+	parsed, err := ParseRequest(NewRequest(home))
+	if err != nil || parsed != home {
+		t.Fatalf("got %+v, %v, want %+v", parsed, err, home)
+	}
+	if !parsed.Owns("kavango") || parsed.Owns("nepgap") {
+		t.Error("organisation of the id is not checked")
+	}
+	tests := []struct {
+		name    string
+		request Request
+	}{
+		{"empty", ""},
+		{"kind", "x.a.1.1.00000001.00000000000000000000000000000000"},
+		{"target", "o.a/b.1.1.00000001.00000000000000000000000000000000"},
+		{"incarnation", "o.a.-1.1.00000001.00000000000000000000000000000000"},
+		{"epoch", "o.a.1.100000000.00000001.00000000000000000000000000000000"},
+		{"organisation", "o.a.1.1.g.00000000000000000000000000000000"},
+		{"nonce", "o.a.1.1.00000001.0"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if home, err := ParseRequest(test.request); err == nil {
+				t.Errorf("accepted as %+v", home)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rtnet/net.go
@@ -0,0 +1,58 @@
+// Package rtnet puts listening and dialling behind an interface, so that
+// tests replace TCP by an in-memory network.
+package rtnet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+// Network opens listeners and connections.
+type Network interface {
+	Listen(address rtid.Address) (net.Listener, error)
+	Dial(ctx context.Context, address rtid.Address) (net.Conn, error)
+}
+
+// TCP is the operating system's network. The zero value is ready to use.
+type TCP struct {
+	dialer net.Dialer
+}
+
+// Listen opens a TCP listener.
+func (t *TCP) Listen(address rtid.Address) (net.Listener, error) {
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return listener, nil
+}
+
+// Dial opens a TCP connection.
+func (t *TCP) Dial(ctx context.Context, address rtid.Address) (net.Conn, error) {
+	return t.dialer.DialContext(ctx, "tcp", string(address))
+}
+
+// Timeouts of the HTTP client between processes.
+const (
+	idleTimeout   = 30 * time.Second
+	idlePerHost   = 64
+	maxHeaderSize = 16 << 10
+)
+
+// Client returns an HTTP client whose connections come from network. Calls
+// are bounded by their contexts.
+func Client(network Network) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return network.Dial(ctx, rtid.Address(address))
+		},
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderSize,
+	}}
+}
