--- /dev/null
+++ b/internal/rttarget/client.go
@@ -0,0 +1,196 @@
+package rttarget
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+// maxReply bounds the body of an answer that is not a stream.
+const maxReply = 4 << 20
+
+// StatusError is an answer of a target other than 200. The target did not do
+// what was asked.
+type StatusError struct {
+	Status int
+	Detail string
+	Fence  rtid.Incarnation // highest fencing number seen, for a conflict
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("target answered %d: %s", e.Status, e.Detail)
+}
+
+// caller sends requests to one target.
+type caller struct {
+	client  *http.Client
+	address rtid.Address
+}
+
+// send returns the response of a request if its status is 200, else a
+// StatusError or the error of the transport.
+func (c caller) send(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	var reader io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return nil, fmt.Errorf("encode request: %w", err)
+		}
+		reader = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(c.address)+path, reader)
+	if err != nil {
+		return nil, fmt.Errorf("create request: %w", err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	failure := &StatusError{Status: response.StatusCode, Detail: string(bytes.TrimSpace(detail))}
+	var conflict Conflict
+	if response.StatusCode == http.StatusConflict && json.Unmarshal(detail, &conflict) == nil {
+		failure.Fence = conflict.Fence
+	}
+	return nil, failure
+}
+
+// call sends a request and decodes the answer into reply unless it is nil.
+func (c caller) call(ctx context.Context, method, path string, body, reply any) error {
+	response, err := c.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if reply == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(reply); err != nil {
+		return fmt.Errorf("%s %s: decode answer: %w", method, path, err)
+	}
+	return nil
+}
+
+// Engine is the client of one model engine.
+type Engine struct {
+	caller
+}
+
+// NewEngine returns the client of the engine at address.
+func NewEngine(client *http.Client, address rtid.Address) *Engine {
+	return &Engine{caller{client, address}}
+}
+
+// Generate starts a generation. A StatusError means that it did not start.
+func (e *Engine) Generate(ctx context.Context, request GenerateRequest) (*Stream, error) {
+	response, err := e.send(ctx, http.MethodPost, "/generate", request)
+	if err != nil {
+		return nil, err
+	}
+	return &Stream{body: response.Body, decoder: json.NewDecoder(response.Body)}, nil
+}
+
+// Cancel stops a generation and frees its memory. It succeeds for an unknown id.
+func (e *Engine) Cancel(ctx context.Context, id rtid.Request) error {
+	return e.call(ctx, http.MethodPost, "/cancel/"+url.PathEscape(string(id)), nil, nil)
+}
+
+// Streams lists what uses memory at the engine.
+func (e *Engine) Streams(ctx context.Context) ([]EngineStream, error) {
+	var streams []EngineStream
+	err := e.call(ctx, http.MethodGet, "/streams", nil, &streams)
+	return streams, err
+}
+
+// Load returns the engine's own report, which lags.
+func (e *Engine) Load(ctx context.Context) (EngineLoad, error) {
+	var load EngineLoad
+	err := e.call(ctx, http.MethodGet, "/load", nil, &load)
+	return load, err
+}
+
+// Events returns the cache events after a sequence number.
+func (e *Engine) Events(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	err := e.call(ctx, http.MethodGet, fmt.Sprintf("/events?after=%d", after), nil, &events)
+	return events, err
+}
+
+// Hold reserves KV memory for a prompt that runs at another engine. Holding
+// the same id again succeeds.
+func (e *Engine) Hold(ctx context.Context, request HoldRequest) error {
+	return e.call(ctx, http.MethodPost, "/holds", request, nil)
+}
+
+// Unhold frees a hold. It succeeds for an unknown id.
+func (e *Engine) Unhold(ctx context.Context, id rtid.Request) error {
+	return e.call(ctx, http.MethodDelete, "/holds/"+url.PathEscape(string(id)), nil, nil)
+}
+
+// DeleteExport frees the memory of an export. It succeeds for an unknown id.
+func (e *Engine) DeleteExport(ctx context.Context, id rtid.Request) error {
+	return e.call(ctx, http.MethodDelete, "/exports/"+url.PathEscape(string(id)), nil, nil)
+}
+
+// Command loads a model, adapter or version, or changes the engine's role.
+func (e *Engine) Command(ctx context.Context, command Command) error {
+	return e.call(ctx, http.MethodPost, "/order", command, nil)
+}
+
+// Stream reads the answer of a generation.
+type Stream struct {
+	body    io.ReadCloser
+	decoder *json.Decoder
+}
+
+// Next returns the next chunk. A stream that stops before a chunk with End
+// returns io.ErrUnexpectedEOF or the error of the transport.
+func (s *Stream) Next() (Chunk, error) {
+	var chunk Chunk
+	err := s.decoder.Decode(&chunk)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return chunk, err
+}
+
+// Close releases the connection. It does not stop the generation.
+func (s *Stream) Close() error {
+	return s.body.Close()
+}
+
+// Service is the client of one plain service.
+type Service struct {
+	caller
+}
+
+// NewService returns the client of the plain service at address.
+func NewService(client *http.Client, address rtid.Address) *Service {
+	return &Service{caller{client, address}}
+}
+
+// Run executes a call that must not be repeated. A StatusError means that it
+// was not executed; with any other error it may have been.
+func (s *Service) Run(ctx context.Context, request RunRequest) (RunReply, error) {
+	var reply RunReply
+	err := s.call(ctx, http.MethodPost, "/run", request, &reply)
+	return reply, err
+}
+
+// Load returns the service's own report, which lags.
+func (s *Service) Load(ctx context.Context) (EngineLoad, error) {
+	var load EngineLoad
+	err := s.call(ctx, http.MethodGet, "/load", nil, &load)
+	return load, err
+}
