--- a/internal/rttarget/client.go
+++ b/internal/rttarget/client.go
@@ -94,7 +94,7 @@
 
 // Generate starts a generation. A StatusError means that it did not start.
 func (e *Engine) Generate(ctx context.Context, request GenerateRequest) (*Stream, error) {
-	response, err := e.send(ctx, http.MethodPost, "/generate", request)
+	response, err := e.send(ctx, http.MethodPost, "/generate", request) //nolint:bodyclose // Stream.Close closes the body
 	if err != nil {
 		return nil, err
 	}
