--- /dev/null
+++ b/internal/rtagent/calls.go
@@ -0,0 +1,159 @@
+package rtagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtledger"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+// calls serves the twirp service Target.
+type calls struct {
+	agent *Agent
+}
+
+// Offer decides about a request and answers with the status of this process.
+func (c calls) Offer(_ context.Context, message *rtwire.OfferRequest) (*rtwire.OfferReply, error) {
+	a := c.agent
+	a.node.Observe(message.Sender)
+	reply := a.decide(message)
+	reply.Status = a.node.Status()
+	a.metrics.Tagged(map[string]string{
+		"outcome": reply.Outcome.String(),
+		"reason":  reply.Reason.String(),
+	}).Counter("offers").Inc(1)
+	return reply, nil
+}
+
+// Query returns what the ledger knows about a request. It writes nothing, so
+// a request that was never offered may still run later.
+func (c calls) Query(_ context.Context, message *rtwire.QueryRequest) (*rtwire.QueryReply, error) {
+	a := c.agent
+	id := rtid.Request(message.Request)
+	organisation := rtid.Organisation(message.Organisation)
+	_, answer := a.identify(id, organisation, message.Incarnation)
+	if answer != nil {
+		return answer, nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	record, ok := a.ledger.Lookup(id)
+	if !ok {
+		return &rtwire.QueryReply{Outcome: rtwire.Outcome_OUTCOME_UNKNOWN, Detail: "no offer with this id has arrived"}, nil
+	}
+	return describe(record, organisation), nil
+}
+
+// Cancel stops a draft, or prevents a request that has not started.
+func (c calls) Cancel(_ context.Context, message *rtwire.CancelRequest) (*rtwire.QueryReply, error) {
+	a := c.agent
+	id := rtid.Request(message.Request)
+	organisation := rtid.Organisation(message.Organisation)
+	home, answer := a.identify(id, organisation, message.Incarnation)
+	if answer != nil {
+		return answer, nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	entry := rtledger.Entry{ID: id, Epoch: home.Epoch, Organisation: organisation}
+	if home.Kind == rtid.KindDraft {
+		entry.Epoch = a.ledger.Epoch(now)
+	}
+	record, verdict := a.ledger.Cancel(entry, now)
+	switch verdict {
+	case rtledger.Fresh, rtledger.Known:
+		return describe(a.cancelled(id, record), organisation), nil
+	case rtledger.Conflict:
+		return foreign(), nil
+	case rtledger.Full:
+		return &rtwire.QueryReply{Reason: rtwire.Reason_REASON_QUEUE, Detail: "the ledger is full"}, nil
+	default:
+		return &rtwire.QueryReply{Reason: rtwire.Reason_REASON_EXPIRED, Detail: "the epoch of the id is not kept"}, nil
+	}
+}
+
+// cancelled carries a cancellation out: a tombstone takes the request out of
+// the queue, a running draft is stopped. The caller holds a.mu.
+func (a *Agent) cancelled(id rtid.Request, record rtledger.Record) rtledger.Record {
+	r := a.requests[id]
+	if r == nil || r.settled {
+		return record
+	}
+	switch {
+	case record.State == rtledger.StateNotRun:
+		a.abandon(r, rtwire.Reason_REASON_CANCELLED, "cancelled before its start")
+	case record.State == rtledger.StateRunning && r.kind == rtwire.Kind_KIND_DRAFT:
+		a.settle(r, rtledger.Result{
+			State:  rtledger.StateFailed,
+			Reason: rtwire.Reason_REASON_CANCELLED,
+			Detail: errCancelled.Error(),
+		})
+		r.cancel(errCancelled)
+	default:
+		return record
+	}
+	record, _ = a.ledger.Lookup(id)
+	return record
+}
+
+// identify answers for ids that this incarnation cannot know. Drafts of an
+// earlier incarnation have failed: their streams were cancelled at the start
+// of this one.
+func (a *Agent) identify(id rtid.Request, organisation rtid.Organisation, meant uint64) (rtid.Home, *rtwire.QueryReply) {
+	home, err := rtid.ParseRequest(id)
+	if err != nil {
+		return home, &rtwire.QueryReply{Reason: rtwire.Reason_REASON_MALFORMED, Detail: err.Error()}
+	}
+	if home.Target != a.settings.Target {
+		return home, &rtwire.QueryReply{Reason: rtwire.Reason_REASON_MALFORMED, Detail: "the id names another target"}
+	}
+	if !home.Owns(organisation) {
+		return home, foreign()
+	}
+	current := a.node.Incarnation()
+	if home.Incarnation == current && (meant == 0 || rtid.Incarnation(meant) == current) {
+		return home, nil
+	}
+	gone := &rtwire.QueryReply{Reason: rtwire.Reason_REASON_INCARNATION, Detail: "the agent has restarted since the id was made"}
+	if home.Kind != rtid.KindDraft {
+		return home, gone
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, known := a.ledger.Lookup(id); known {
+		return home, nil
+	}
+	if home.Incarnation < current {
+		gone.Outcome = rtwire.Outcome_OUTCOME_FAILED
+	}
+	return home, gone
+}
+
+func foreign() *rtwire.QueryReply {
+	return &rtwire.QueryReply{Reason: rtwire.Reason_REASON_CONFLICT, Detail: "the id belongs to another organisation"}
+}
+
+func describe(record rtledger.Record, organisation rtid.Organisation) *rtwire.QueryReply {
+	if record.Organisation != organisation {
+		return foreign()
+	}
+	return &rtwire.QueryReply{
+		Outcome: outcomes[record.State],
+		Reason:  record.Reason,
+		Detail:  record.Detail,
+		Result:  record.Body,
+	}
+}
+
+// Reserve holds KV memory for a prompt that another agent leads.
+func (c calls) Reserve(_ context.Context, _ *rtwire.ReserveRequest) (*rtwire.ReserveReply, error) {
+	return &rtwire.ReserveReply{Reason: rtwire.Reason_REASON_MEMORY}, nil
+}
+
+// Release frees a reservation.
+func (c calls) Release(_ context.Context, _ *rtwire.ReleaseRequest) (*rtwire.ReleaseReply, error) {
+	return &rtwire.ReleaseReply{}, nil
+}
--- /dev/null
+++ b/internal/rtagent/pace.go
@@ -0,0 +1,91 @@
+package rtagent
+
+import (
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+const (
+	// paceWeight is the weight of a new sample in the moving means.
+	paceWeight = 0.2
+	// minRateWork is the shortest prefill that measures the rate; shorter ones
+	// measure the overhead of a call.
+	minRateWork = 100 * time.Millisecond
+	// rateSpan bounds how far one sample may be from the warm rate.
+	rateSpan = 20
+)
+
+// pace is the measured speed of a target.
+type pace struct {
+	rate     float64                      // prefill tokens per second; 0 if not known
+	warm     float64                      // the same of a warm target
+	token    time.Duration                // mean time between tokens of an answer
+	duration map[rtid.Class]time.Duration // mean time at the target
+}
+
+func newPace(rate float64) pace {
+	return pace{rate: rate, warm: rate, duration: make(map[rtid.Class]time.Duration)}
+}
+
+// prefill returns the predicted time to prefill tokens.
+func (p *pace) prefill(tokens rtid.Tokens) time.Duration {
+	return spend(tokens, p.rate)
+}
+
+// expected returns the time that a warm target needs to prefill tokens.
+func (p *pace) expected(tokens rtid.Tokens) time.Duration {
+	return spend(tokens, p.warm)
+}
+
+func spend(tokens rtid.Tokens, rate float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
+// answer returns the predicted time of an answer after its first token.
+func (p *pace) answer(output rtid.Tokens) time.Duration {
+	return time.Duration(output) * p.token
+}
+
+// slot returns the predicted wait for a slot when over requests more than
+// limit want one.
+func (p *pace) slot(class rtid.Class, over, limit int) time.Duration {
+	if over <= 0 {
+		return 0
+	}
+	return p.duration[class] * time.Duration(over) / time.Duration(max(1, limit))
+}
+
+// prefilled takes in a measured time to first token, with all tokens that
+// were prefilled in that time.
+func (p *pace) prefilled(tokens rtid.Tokens, measured time.Duration) {
+	if p.warm <= 0 || measured <= 0 || p.expected(tokens) < minRateWork {
+		return
+	}
+	sample := float64(tokens) / measured.Seconds()
+	sample = min(max(sample, p.warm/rateSpan), p.warm*rateSpan)
+	p.rate += paceWeight * (sample - p.rate)
+}
+
+// answered takes in the time between the first and the last token.
+func (p *pace) answered(tokens rtid.Tokens, measured time.Duration) {
+	if tokens < 2 {
+		return
+	}
+	p.token = mean(p.token, measured/time.Duration(tokens-1))
+}
+
+// served takes in the time of a request at the target.
+func (p *pace) served(class rtid.Class, measured time.Duration) {
+	p.duration[class] = mean(p.duration[class], measured)
+}
+
+func mean(current, sample time.Duration) time.Duration {
+	if current == 0 {
+		return sample
+	}
+	return current + time.Duration(paceWeight*float64(sample-current))
+}
--- /dev/null
+++ b/internal/rtagent/reconcile.go
@@ -0,0 +1,224 @@
+package rtagent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtledger"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+const (
+	// reconcilePeriod bounds how long memory that nobody owns stays in use:
+	// two periods, because a stream must be unknown twice.
+	reconcilePeriod = 2 * time.Second
+	// prepareRetry is the wait between two tries to reach the target at start.
+	prepareRetry = 250 * time.Millisecond
+	// callTimeout bounds control calls to the target.
+	callTimeout = time.Second
+)
+
+// Kinds of memory use in rttarget.EngineStream.
+const (
+	kindStream = "stream"
+	kindHold   = "hold"
+	kindExport = "export"
+)
+
+// keep prepares the target, declares the agent ready, then reconciles until
+// the context ends.
+func (a *Agent) keep(ctx context.Context) error {
+	for {
+		err := a.prepare(ctx)
+		if err == nil {
+			break
+		}
+		a.log.Info("target is not ready", "error", err.Error())
+		if !sleep(ctx, prepareRetry) {
+			return nil
+		}
+	}
+	select {
+	case <-a.node.Started():
+	case <-ctx.Done():
+		return nil
+	}
+	a.setReady()
+	for sleep(ctx, reconcilePeriod) {
+		a.reconcile(ctx)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a *Agent) setReady() {
+	a.mu.Lock()
+	a.ready = true
+	serving := a.serving()
+	a.mu.Unlock()
+	a.node.SetReady(serving)
+	a.log.Info("ready", "incarnation", uint64(a.node.Incarnation()))
+}
+
+// prepare takes over the target: a fencing number above all earlier ones, and
+// no memory left in use by an earlier incarnation.
+func (a *Agent) prepare(ctx context.Context) error {
+	load, err := a.targetLoad(ctx)
+	if err != nil {
+		return err
+	}
+	if load.Fence >= a.node.Incarnation() {
+		a.node.RaiseIncarnation(load.Fence + 1)
+	}
+	a.mu.Lock()
+	a.start = load.Start
+	a.mu.Unlock()
+	if a.engine == nil {
+		return nil
+	}
+	streams, err := a.streams(ctx)
+	if err != nil {
+		return err
+	}
+	for _, stream := range streams {
+		if err := a.freeStream(ctx, stream); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *Agent) targetLoad(ctx context.Context) (rttarget.EngineLoad, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if a.engine != nil {
+		return a.engine.Load(ctx)
+	}
+	return a.service.Load(ctx)
+}
+
+func (a *Agent) streams(ctx context.Context) ([]rttarget.EngineStream, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return a.engine.Streams(ctx)
+}
+
+// freeStream frees memory at the engine that this incarnation does not own.
+func (a *Agent) freeStream(ctx context.Context, stream rttarget.EngineStream) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a.log.Info("free memory of an unknown owner", "request", stream.ID, "kind", stream.Kind, "tokens", int64(stream.Tokens))
+	a.metrics.Counter("streams_freed").Inc(1)
+	switch stream.Kind {
+	case kindStream:
+		return a.engine.Cancel(ctx, stream.ID)
+	case kindHold:
+		return a.engine.Unhold(ctx, stream.ID)
+	case kindExport:
+		return a.engine.DeleteExport(ctx, stream.ID)
+	default:
+		return fmt.Errorf("engine lists unknown kind %q", stream.Kind)
+	}
+}
+
+// reconcile compares the target with the agent's own state.
+func (a *Agent) reconcile(ctx context.Context) {
+	load, err := a.targetLoad(ctx)
+	if err != nil {
+		a.setDown(true)
+		return
+	}
+	a.noticeRestart(load.Start)
+	a.setDown(false)
+	if a.engine == nil {
+		return
+	}
+	streams, err := a.streams(ctx)
+	if err != nil {
+		return
+	}
+	for _, stream := range a.unknownTwice(streams) {
+		if err := a.freeStream(ctx, stream); err != nil {
+			a.log.Info("free memory failed, repeated at the next reconciliation", "request", stream.ID, "error", err.Error())
+		}
+	}
+}
+
+// setDown takes in whether the target answers. A target that does not answer
+// gets no new work, and waiting requests can still run elsewhere.
+func (a *Agent) setDown(down bool) {
+	a.mu.Lock()
+	changed := a.down != down
+	a.down = down
+	if down {
+		a.warm.Reset()
+		a.abandonWaiting(rtwire.Reason_REASON_TARGET, "the target does not answer")
+	}
+	serving := a.serving()
+	a.mu.Unlock()
+	if changed {
+		a.log.Info("target changed", "down", down)
+		a.node.SetReady(serving)
+	}
+}
+
+// noticeRestart fails what ran at an engine that has restarted since. A plain
+// service is left alone: what became of its calls shows in their own answers.
+func (a *Agent) noticeRestart(start int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if start == a.start {
+		return
+	}
+	a.log.Info("target has restarted", "before", a.start, "after", start)
+	a.start = start
+	a.warm.Reset()
+	if a.engine == nil {
+		return
+	}
+	for _, r := range a.requests {
+		if r.cancel == nil {
+			continue
+		}
+		a.settle(r, rtledger.Result{
+			State:  rtledger.StateFailed,
+			Reason: rtwire.Reason_REASON_TARGET,
+			Detail: errRestarted.Error(),
+		})
+		r.cancel(errRestarted)
+	}
+	a.memory.Reset()
+}
+
+// unknownTwice returns the streams that were unknown in this and in the last
+// reconciliation, so that a stream that is just being started stays.
+func (a *Agent) unknownTwice(streams []rttarget.EngineStream) []rttarget.EngineStream {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var unknown []rttarget.EngineStream
+	seen := make(map[rtid.Request]bool)
+	for _, stream := range streams {
+		if a.find(stream.ID) != nil || a.held[stream.ID] {
+			continue
+		}
+		seen[stream.ID] = true
+		if a.strangers[stream.ID] {
+			unknown = append(unknown, stream)
+		}
+	}
+	a.strangers = seen
+	return unknown
+}
--- /dev/null
+++ b/internal/rtqueue/queue.go
@@ -0,0 +1,387 @@
+// Package rtqueue orders the requests that wait at one agent. It also counts
+// what runs, because that decides what may start next. It has no clock of its
+// own and is not safe for concurrent use.
+//
+// Bound: once a request has waited for AgeLimit, no younger request overtakes
+// it for memory or a slot. It starts as soon as the older aged requests have
+// started, running requests have freed its memory, and, for a long prompt,
+// the running long prompts have had their first token.
+package rtqueue
+
+import (
+	"container/heap"
+	"container/list"
+	"math"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+const (
+	// AgeLimit is the wait after which a request is served in order of arrival.
+	AgeLimit = 20 * time.Second
+	// minWeight keeps an organisation with no planned share from stopping.
+	minWeight = 1e-3
+)
+
+// headStart is how much later a request of a class counts as arrived, so that
+// shorter ones go first for a while. It stays under AgeLimit.
+var headStart = [...]time.Duration{
+	rtid.ClassShort:  0,
+	rtid.ClassMedium: 2 * time.Second,
+	rtid.ClassLong:   10 * time.Second,
+}
+
+// Limits bound a queue.
+type Limits struct {
+	Waiting     int         // most waiting requests
+	Bytes       rtid.Bytes  // most bytes of waiting bodies
+	LongPrefill rtid.Tokens // most prefill tokens of long prompts at a time; one prompt may always run
+}
+
+// Item is a request that waits or runs.
+type Item struct {
+	ID           rtid.Request
+	Organisation rtid.Organisation
+	Weight       float64 // planned share of the organisation
+	Class        rtid.Class
+	Tokens       rtid.Tokens // prompt to prefill
+	Memory       rtid.Tokens // KV memory while it runs
+	Size         rtid.Bytes  // of the body
+	Arrived      time.Time
+	Deadline     time.Time
+}
+
+// flow is the waiting requests of one organisation in one class, oldest first.
+type flow struct {
+	organisation rtid.Organisation
+	class        rtid.Class
+	items        list.List // of *entry
+}
+
+type flowKey struct {
+	organisation rtid.Organisation
+	class        rtid.Class
+}
+
+type entry struct {
+	Item
+	flow    *flow         // nil once the request runs
+	element *list.Element // in flow
+	index   int           // in deadlines
+	prefill bool          // runs and has no first token yet
+}
+
+// Queue holds what waits and what runs at one target.
+type Queue struct {
+	limits    Limits
+	entries   map[rtid.Request]*entry // all that waits and runs
+	flows     map[flowKey]*flow       // without empty ones
+	deadlines deadlines               // of what waits
+	finish    map[rtid.Organisation]float64
+	virtual   float64 // fair-share clock: weighted tokens served
+	waiting   totals
+	running   totals
+	classes   [len(headStart)]int // running requests by class
+	long      rtid.Tokens         // prefill tokens of running long prompts
+	prefill   rtid.Tokens         // prefill tokens of all running prompts
+	share     share
+}
+
+type totals struct {
+	count  int
+	tokens rtid.Tokens
+	bytes  rtid.Bytes
+}
+
+func (t *totals) add(item *Item, sign int) {
+	t.count += sign
+	t.tokens += rtid.Tokens(sign) * item.Tokens
+	t.bytes += rtid.Bytes(sign) * item.Size
+}
+
+// New returns an empty queue.
+func New(limits Limits) *Queue {
+	return &Queue{
+		limits:  limits,
+		entries: make(map[rtid.Request]*entry),
+		flows:   make(map[flowKey]*flow),
+		finish:  make(map[rtid.Organisation]float64),
+	}
+}
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int { return q.waiting.count }
+
+// WaitingTokens returns the prompt tokens of waiting requests.
+func (q *Queue) WaitingTokens() rtid.Tokens { return q.waiting.tokens }
+
+// Running returns the number of running requests.
+func (q *Queue) Running() int { return q.running.count }
+
+// Prefill returns the prompt tokens of running requests before their first
+// token.
+func (q *Queue) Prefill() rtid.Tokens { return q.prefill }
+
+// Push adds a waiting request. It reports false if the queue is full or holds
+// the request already.
+func (q *Queue) Push(item Item) bool {
+	if q.waiting.count >= q.limits.Waiting || q.waiting.bytes+item.Size > q.limits.Bytes {
+		return false
+	}
+	if q.entries[item.ID] != nil {
+		return false
+	}
+	key := flowKey{item.Organisation, item.Class}
+	target := q.flows[key]
+	if target == nil {
+		target = &flow{organisation: item.Organisation, class: item.Class}
+		q.flows[key] = target
+	}
+	added := &entry{Item: item, flow: target}
+	added.element = target.items.PushBack(added)
+	q.entries[item.ID] = added
+	heap.Push(&q.deadlines, added)
+	q.waiting.add(&item, 1)
+	q.observe(item.Arrived)
+	return true
+}
+
+// Remove takes a waiting request out. It reports whether it waited.
+func (q *Queue) Remove(id rtid.Request) bool {
+	found := q.entries[id]
+	if found == nil || found.flow == nil {
+		return false
+	}
+	q.unlink(found)
+	delete(q.entries, id)
+	return true
+}
+
+// Expired takes out the waiting requests whose deadline has passed.
+func (q *Queue) Expired(now time.Time) []Item {
+	var expired []Item
+	for len(q.deadlines) > 0 && !now.Before(q.deadlines[0].Deadline) {
+		first := q.deadlines[0]
+		q.Remove(first.ID)
+		expired = append(expired, first.Item)
+	}
+	return expired
+}
+
+// Pop moves the next request that may start from waiting to running. Slots is
+// the most running requests now, free the KV memory that is not reserved.
+// Expired requests come out as refused and never start.
+func (q *Queue) Pop(now time.Time, slots int, free rtid.Tokens) (next Item, ok bool, refused []Item) {
+	refused = q.Expired(now)
+	q.observe(now)
+	if q.running.count >= slots {
+		return Item{}, false, refused
+	}
+	chosen := q.choose(now, slots, free)
+	if chosen == nil {
+		return Item{}, false, refused
+	}
+	q.start(chosen)
+	return chosen.Item, true, refused
+}
+
+// Prefilled marks the first token of a running request.
+func (q *Queue) Prefilled(id rtid.Request) {
+	found := q.entries[id]
+	if found == nil || !found.prefill {
+		return
+	}
+	found.prefill = false
+	q.prefill -= found.Tokens
+	if found.Class == rtid.ClassLong {
+		q.long -= found.Tokens
+	}
+}
+
+// Done removes a running request.
+func (q *Queue) Done(id rtid.Request, now time.Time) {
+	found := q.entries[id]
+	if found == nil || found.flow != nil {
+		return
+	}
+	q.Prefilled(id)
+	q.running.add(&found.Item, -1)
+	q.classes[found.Class]--
+	delete(q.entries, id)
+	q.observe(now)
+}
+
+// Ahead returns the prompt tokens that a new request of a class has to wait
+// for, if nothing else arrives: running prefill and what is served before it.
+func (q *Queue) Ahead(class rtid.Class, now time.Time) rtid.Tokens {
+	ahead := q.prefill
+	due := now.Add(headStart[class])
+	for key, waiting := range q.flows {
+		if key.class <= class {
+			ahead += q.flowTokens(waiting, now, due)
+			continue
+		}
+		ahead += q.flowTokens(waiting, now, due.Add(-headStart[key.class]))
+	}
+	return ahead
+}
+
+// flowTokens sums the tokens of a flow that arrived before due.
+func (q *Queue) flowTokens(f *flow, now, due time.Time) rtid.Tokens {
+	var sum rtid.Tokens
+	for element := f.items.Front(); element != nil; element = element.Next() {
+		item := element.Value.(*entry)
+		if item.Arrived.After(due) || item.Arrived.After(now) {
+			break
+		}
+		sum += item.Tokens
+	}
+	return sum
+}
+
+func (q *Queue) start(e *entry) {
+	q.unlink(e)
+	q.charge(&e.Item)
+	e.prefill = true
+	q.running.add(&e.Item, 1)
+	q.classes[e.Class]++
+	q.prefill += e.Tokens
+	if e.Class == rtid.ClassLong {
+		q.long += e.Tokens
+	}
+}
+
+// charge advances the organisation's fair-share clock by the tokens it gets,
+// by start-time fair queueing.
+func (q *Queue) charge(item *Item) {
+	start := max(q.virtual, q.finish[item.Organisation])
+	q.virtual = start
+	q.finish[item.Organisation] = start + float64(item.Tokens)/max(item.Weight, minWeight)
+}
+
+func (q *Queue) unlink(e *entry) {
+	e.flow.items.Remove(e.element)
+	if e.flow.items.Len() == 0 {
+		delete(q.flows, flowKey{e.flow.organisation, e.flow.class})
+	}
+	e.flow = nil
+	heap.Remove(&q.deadlines, e.index)
+	q.waiting.add(&e.Item, -1)
+	if q.waiting.count == 0 {
+		// Nobody waits, so nobody is owed anything.
+		clear(q.finish)
+		q.virtual = 0
+	}
+}
+
+func (q *Queue) observe(now time.Time) {
+	shorts := q.classes[rtid.ClassShort]
+	for key, waiting := range q.flows {
+		if key.class == rtid.ClassShort {
+			shorts += waiting.items.Len()
+		}
+	}
+	q.share.observe(shorts, now)
+}
+
+// choose returns the request to start, or nil if none may.
+func (q *Queue) choose(now time.Time, slots int, free rtid.Tokens) *entry {
+	oldest, blocked := q.aged(now, free)
+	if oldest != nil || blocked {
+		return oldest
+	}
+	var best *entry
+	var bestDue time.Time
+	bestFinish := math.Inf(1)
+	for key, waiting := range q.flows {
+		head := waiting.items.Front().Value.(*entry)
+		if !q.fits(head, slots, free) {
+			continue
+		}
+		due := q.classDue(key.class)
+		finish := max(q.virtual, q.finish[key.organisation])
+		if best == nil || q.before(due, finish, head, bestDue, bestFinish, best) {
+			best, bestDue, bestFinish = head, due, finish
+		}
+	}
+	return best
+}
+
+// before orders candidates: class by its oldest request and head start, then
+// organisation by fair share, then arrival and id, so that the order does not
+// depend on the order of a map.
+func (q *Queue) before(due time.Time, finish float64, e *entry, otherDue time.Time, otherFinish float64, other *entry) bool {
+	switch {
+	case !due.Equal(otherDue):
+		return due.Before(otherDue)
+	case e.Class != other.Class:
+		return e.Class < other.Class
+	case finish != otherFinish:
+		return finish < otherFinish
+	default:
+		return older(e, other)
+	}
+}
+
+func older(e, other *entry) bool {
+	if !e.Arrived.Equal(other.Arrived) {
+		return e.Arrived.Before(other.Arrived)
+	}
+	return e.ID < other.ID
+}
+
+// classDue returns when the oldest request of a class counts as arrived.
+func (q *Queue) classDue(class rtid.Class) time.Time {
+	var first time.Time
+	for key, waiting := range q.flows {
+		if key.class != class {
+			continue
+		}
+		arrived := waiting.items.Front().Value.(*entry).Arrived
+		if first.IsZero() || arrived.Before(first) {
+			first = arrived
+		}
+	}
+	return first.Add(headStart[class])
+}
+
+// aged returns the oldest request that has waited for AgeLimit and may start,
+// and whether it lacks memory, so that nothing else may start before it.
+func (q *Queue) aged(now time.Time, free rtid.Tokens) (next *entry, blocked bool) {
+	for _, waiting := range q.flows {
+		head := waiting.items.Front().Value.(*entry)
+		if now.Sub(head.Arrived) < AgeLimit || !q.longFits(head) {
+			continue
+		}
+		if next == nil || older(head, next) {
+			next = head
+		}
+	}
+	if next != nil && next.Memory > free {
+		return nil, true
+	}
+	return next, false
+}
+
+// fits reports whether a request that has not aged may start.
+func (q *Queue) fits(e *entry, slots int, free rtid.Tokens) bool {
+	if e.Memory > free || !q.longFits(e) {
+		return false
+	}
+	if e.Class == rtid.ClassShort {
+		return true
+	}
+	others := q.running.count - q.classes[rtid.ClassShort]
+	if others == 0 {
+		return true
+	}
+	kept := q.share.slots(slots)
+	return others < slots-kept && e.Memory <= free-rtid.Tokens(kept)*rtid.ShortLimit
+}
+
+// longFits reports whether the limit on prefill of long prompts lets a
+// request start.
+func (q *Queue) longFits(e *entry) bool {
+	return e.Class != rtid.ClassLong || q.long == 0 || q.long+e.Tokens <= q.limits.LongPrefill
+}
