--- /dev/null
+++ b/internal/rtfake/connection.go
@@ -0,0 +1,186 @@
+package rtfake
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// connection is one end of a connection of Network.
+type connection struct {
+	network *Network
+	host    *hostState
+	in, out *pipe
+	local   netip.AddrPort
+	remote  netip.AddrPort
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(buffer []byte) (int, error) {
+	n, err := c.in.read(buffer)
+	return n, c.wrap("read", err)
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(data []byte) (int, error) {
+	n, err := c.out.write(data, c.peerVisible)
+	return n, c.wrap("write", err)
+}
+
+// peerVisible reports whether news of the other end can arrive.
+func (c *connection) peerVisible() bool {
+	return !c.in.link.isCut()
+}
+
+// wrap gives errors the types that net/http expects from a TCP connection.
+func (c *connection) wrap(operation string, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, io.EOF):
+		return io.EOF
+	case errors.Is(err, io.ErrClosedPipe):
+		err = net.ErrClosed
+	}
+	return &net.OpError{
+		Op:     operation,
+		Net:    "tcp",
+		Source: c.LocalAddr(),
+		Addr:   c.RemoteAddr(),
+		Err:    err,
+	}
+}
+
+// Close implements net.Conn. The other end reads what was written before.
+func (c *connection) Close() error {
+	c.end(io.EOF)
+	return nil
+}
+
+// end closes this end; the other end reads reason after the last byte.
+func (c *connection) end(reason error) {
+	c.out.closeWriter(reason)
+	c.in.closeReader()
+	c.network.forget(c)
+}
+
+// reset ends the connection as the kernel does for a killed process.
+func (c *connection) reset() {
+	c.end(syscall.ECONNRESET)
+}
+
+func (c *connection) wake() {
+	c.in.wake()
+	c.out.wake()
+}
+
+// LocalAddr implements net.Conn.
+func (c *connection) LocalAddr() net.Addr {
+	return net.TCPAddrFromAddrPort(c.local)
+}
+
+// RemoteAddr implements net.Conn.
+func (c *connection) RemoteAddr() net.Addr {
+	return net.TCPAddrFromAddrPort(c.remote)
+}
+
+// SetDeadline implements net.Conn.
+func (c *connection) SetDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	c.out.setWriteDeadline(t)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *connection) SetWriteDeadline(t time.Time) error {
+	c.out.setWriteDeadline(t)
+	return nil
+}
+
+// listener is a listener of Network.
+type listener struct {
+	network *Network
+	key     listenerKey
+	host    *hostState
+
+	mu      sync.Mutex
+	waiting []*connection
+	closed  bool
+	changed chan struct{} // closed and replaced at each change
+}
+
+func (l *listener) push(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = append(l.waiting, c)
+	l.wakeLocked()
+}
+
+func (l *listener) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wakeLocked()
+}
+
+func (l *listener) wakeLocked() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, changed, err := l.tryAccept()
+		if err != nil {
+			return nil, err
+		}
+		if c != nil {
+			return c, nil
+		}
+		<-changed
+	}
+}
+
+func (l *listener) tryAccept() (*connection, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, nil, opError("accept", l.key.address, net.ErrClosed)
+	}
+	if len(l.waiting) == 0 || l.host.isFrozen() {
+		return nil, l.changed, nil
+	}
+	c := l.waiting[0]
+	l.waiting = l.waiting[1:]
+	return c, nil, nil
+}
+
+// Close implements net.Listener. Connections that nobody accepted are reset.
+func (l *listener) Close() error {
+	l.network.removeListener(l)
+	l.mu.Lock()
+	waiting := l.waiting
+	l.waiting = nil
+	l.closed = true
+	l.wakeLocked()
+	l.mu.Unlock()
+	for _, c := range waiting {
+		c.reset()
+	}
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr {
+	return net.TCPAddrFromAddrPort(l.key.address)
+}
