--- a/internal/rtfake/fault.go
+++ b/internal/rtfake/fault.go
@@ -1,5 +1,10 @@
 package rtfake
 
+import (
+	"maps"
+	"slices"
+)
+
 // SetLatency sets the latency from one host to another, one way, for segments
 // written from now on.
 func (n *Network) SetLatency(from, to string, latency Latency) {
@@ -67,6 +72,19 @@
 // for a killed process. The host can listen and dial again.
 func (n *Network) Kill(host string) {
 	listeners, connections := n.of(host)
+	closeAll(listeners, connections)
+}
+
+// Close ends all listeners and connections at both ends, whatever the faults.
+func (n *Network) Close() {
+	n.mu.Lock()
+	listeners := slices.Collect(maps.Values(n.listeners))
+	connections := slices.Collect(maps.Keys(n.connections))
+	n.mu.Unlock()
+	closeAll(listeners, connections)
+}
+
+func closeAll(listeners []*listener, connections []*connection) {
 	for _, l := range listeners {
 		// Close of a listener in memory returns no error.
 		_ = l.Close()
--- a/internal/rtfake/http.go
+++ b/internal/rtfake/http.go
@@ -49,27 +49,53 @@
 	Detail string `json:"detail"`
 }
 
-func fail(w http.ResponseWriter, status int, format string, arguments ...any) {
-	writeJSON(w, status, failure{Detail: fmt.Sprintf(format, arguments...)})
+// reply is an answer that is written after all locks are released, because
+// the network may block the writer.
+type reply struct {
+	status int
+	value  any
 }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
+// done is the answer of a request that has no result.
+var done = reply{http.StatusOK, struct{}{}}
+
+func ok(value any) reply {
+	return reply{http.StatusOK, value}
+}
+
+func failed(status int, format string, arguments ...any) reply {
+	return reply{status, failure{Detail: fmt.Sprintf(format, arguments...)}}
+}
+
+// failedBody is the answer to a body that cannot be decoded.
+func failedBody(err error) reply {
+	return failed(http.StatusBadRequest, "body: %v", err)
+}
+
+func (a reply) write(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
+	w.WriteHeader(a.status)
 	// An error means that the reader has gone.
-	_ = json.NewEncoder(w).Encode(value)
+	_ = json.NewEncoder(w).Encode(a.value)
 }
 
-// readJSON decodes the body of a request, or answers 400 and returns false.
-func readJSON(w http.ResponseWriter, r *http.Request, value any) bool {
-	body := http.MaxBytesReader(w, r.Body, maxBody)
+// handle lets a function answer the requests of a pattern.
+func handle(mux *http.ServeMux, pattern string, answer func(r *http.Request) reply) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		answer(r).write(w)
+	})
+}
+
+// readJSON decodes the body of a request.
+func readJSON(r *http.Request, value any) error {
+	body := io.LimitReader(r.Body, maxBody)
 	if err := json.NewDecoder(body).Decode(value); err != nil {
-		fail(w, http.StatusBadRequest, "body: %v", err)
-		return false
+		return err
 	}
-	// The connection can be used again only if the body was read to its end.
-	_, _ = io.Copy(io.Discard, body)
-	return true
+	// The server notices that the client has gone only after the whole body
+	// was read.
+	_, err := io.Copy(io.Discard, body)
+	return err
 }
 
 // newLimiter returns a rate limiter; 0 takes the standard rate, a negative
--- /dev/null
+++ b/internal/rtfake/network_test.go
@@ -0,0 +1,214 @@
+package rtfake
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
+)
+
+const (
+	hostA = "10.0.0.1"
+	hostB = "10.0.0.2"
+	portB = rtid.Address(hostB + ":80")
+)
+
+// bubble runs a test in virtual time with a network of its own.
+func bubble(t *testing.T, test func(t *testing.T, network *Network)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := &Network{Seed: 1}
+		t.Cleanup(network.Close)
+		test(t, network)
+	})
+}
+
+// serveAt serves a handler until the test ends.
+func serveAt(t *testing.T, network rtnet.Network, address rtid.Address, handler http.Handler) {
+	t.Helper()
+	listener, err := network.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	task := rttask.Start(t.Context(), "serve", func(ctx context.Context) error {
+		return Serve(ctx, listener, handler)
+	})
+	t.Cleanup(func() {
+		if err := task.Stop(); err != nil && !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	})
+}
+
+// connect returns both ends of a connection from host A to host B.
+func connect(t *testing.T, network *Network) (client, server net.Conn) {
+	t.Helper()
+	listener, err := network.Listen(portB)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err = network.Host(hostA).Dial(t.Context(), portB)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client, server
+}
+
+// readWithin reads what arrives within a duration.
+func readWithin(t *testing.T, conn net.Conn, duration time.Duration) string {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(duration)); err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	if _, err := io.Copy(&text, conn); err != nil {
+		var timeout net.Error
+		if !errors.As(err, &timeout) || !timeout.Timeout() {
+			t.Fatal(err)
+		}
+	}
+	return text.String()
+}
+
+func writeAll(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a network on which HTTP servers and clients deadlock.
+func TestNetworkServesHTTP(t *testing.T) {
+	bubble(t, func(t *testing.T, network *Network) {
+		network.Default = func(string, string) Latency {
+			return Latency{Base: 2 * time.Millisecond, Jitter: time.Millisecond}
+		}
+		serveAt(t, network, portB, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				t.Error(err)
+			}
+			_, _ = w.Write(body)
+		}))
+		client := rtnet.Client(network.Host(hostA))
+		sent := strings.Repeat("x", 3*maxInFlight)
+		for range 3 {
+			response, err := client.Post("http://"+string(portB), "text/plain", strings.NewReader(sent))
+			if err != nil {
+				t.Fatal(err)
+			}
+			received, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if err != nil || string(received) != sent {
+				t.Fatalf("got %d bytes, %v, want %d", len(received), err, len(sent))
+			}
+		}
+		if got := network.Connections(hostA); got != 1 {
+			t.Errorf("client uses %d connections for sequential requests, want 1", got)
+		}
+	})
+}
+
+// Guards against cuts and freezes that lose, invent or reorder bytes.
+func TestFaultsHoldBytes(t *testing.T) {
+	tests := []struct {
+		name  string
+		begin func(*Network)
+		end   func(*Network)
+		there string // what B reads from A during the fault
+		back  string // what A reads from B during the fault
+	}{
+		{"cut one way", func(n *Network) { n.Cut(hostA, hostB) }, func(n *Network) { n.Heal(hostA, hostB) }, "", "pong"},
+		{"cut both ways", func(n *Network) { n.CutBoth(hostA, hostB) }, func(n *Network) { n.Heal(hostA, hostB) }, "", ""},
+		{"cut after 3", func(n *Network) { n.CutAfter(hostA, hostB, 3) }, func(n *Network) { n.Heal(hostA, hostB) }, "pin", "pong"},
+		{"isolate", func(n *Network) { n.Isolate(hostB) }, func(n *Network) { n.Rejoin(hostB) }, "", ""},
+		{"freeze reader", func(n *Network) { n.Freeze(hostA) }, func(n *Network) { n.Thaw(hostA) }, "ping", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, network *Network) {
+				client, server := connect(t, network)
+				writeAll(t, client, "ping")
+				writeAll(t, server, "pong")
+				test.begin(network)
+				there := readWithin(t, server, time.Second)
+				back := readWithin(t, client, time.Second)
+				if there != test.there || back != test.back {
+					t.Errorf("during the fault: got %q and %q, want %q and %q", there, back, test.there, test.back)
+				}
+				test.end(network)
+				there += readWithin(t, server, time.Second)
+				back += readWithin(t, client, time.Second)
+				if there != "ping" || back != "pong" {
+					t.Errorf("after the fault: got %q and %q, want all bytes once", there, back)
+				}
+			})
+		})
+	}
+}
+
+// Guards against dials that succeed through a cut, or that hang without one.
+func TestDial(t *testing.T) {
+	bubble(t, func(t *testing.T, network *Network) {
+		host := network.Host(hostA)
+		if _, err := host.Dial(t.Context(), portB); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("without a listener: got %v, want connection refused", err)
+		}
+		if _, err := network.Listen(portB); err != nil {
+			t.Fatal(err)
+		}
+		network.Cut(hostB, hostA)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if _, err := host.Dial(ctx, portB); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("through a cut: got %v, want deadline exceeded", err)
+		}
+		time.AfterFunc(time.Second, func() { network.Heal(hostA, hostB) })
+		start := time.Now()
+		if _, err := host.Dial(t.Context(), portB); err != nil || time.Since(start) != time.Second {
+			t.Errorf("got %v after %v, want a connection after heal", err, time.Since(start))
+		}
+	})
+}
+
+// Guards against connections that outlive their process, and against news of
+// the end that passes a cut.
+func TestKill(t *testing.T) {
+	bubble(t, func(t *testing.T, network *Network) {
+		client, server := connect(t, network)
+		writeAll(t, server, "last words")
+		network.Cut(hostB, hostA)
+		network.Kill(hostB)
+		if got := readWithin(t, client, time.Second); got != "" {
+			t.Errorf("got %q through a cut", got)
+		}
+		if _, err := server.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("killed end: got %v, want closed", err)
+		}
+		network.Heal(hostA, hostB)
+		if err := client.SetReadDeadline(time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(client)
+		if string(got) != "last words" || !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("got %q, %v, want the bytes written before and a reset", got, err)
+		}
+		if _, err := network.Listen(portB); err != nil {
+			t.Errorf("listen again: %v", err)
+		}
+	})
+}
--- a/internal/rtfake/platform.go
+++ b/internal/rtfake/platform.go
@@ -127,7 +127,7 @@
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet {
-		fail(w, http.StatusMethodNotAllowed, "only GET is supported")
+		failed(http.StatusMethodNotAllowed, "only GET is supported").write(w)
 		return
 	}
 	switch r.URL.Path {
@@ -136,7 +136,7 @@
 	case "/vms":
 		p.serve(w, r, p.listLocked)
 	default:
-		fail(w, http.StatusNotFound, "no such path")
+		failed(http.StatusNotFound, "no such path").write(w)
 	}
 }
 
@@ -170,11 +170,11 @@
 	after := r.URL.Query().Get("after")
 	version, err := strconv.ParseUint(after, 10, 64)
 	if after != "" && err != nil {
-		fail(w, http.StatusBadRequest, "after is not a number")
+		failed(http.StatusBadRequest, "after is not a number").write(w)
 		return
 	}
 	if !p.count() {
-		fail(w, http.StatusTooManyRequests, "over the rate of the platform")
+		failed(http.StatusTooManyRequests, "over the rate of the platform").write(w)
 		return
 	}
 	if after != "" {
@@ -186,9 +186,9 @@
 	p.mu.Unlock()
 	switch {
 	case down:
-		fail(w, http.StatusServiceUnavailable, "platform is down")
+		failed(http.StatusServiceUnavailable, "platform is down").write(w)
 	case current.version == 0:
-		fail(w, http.StatusNotFound, "none published")
+		failed(http.StatusNotFound, "none published").write(w)
 	default:
 		writeAnswer(w, current)
 	}
@@ -216,7 +216,7 @@
 		p.mu.Unlock()
 		switch {
 		case down:
-			fail(w, http.StatusServiceUnavailable, "platform is down")
+			failed(http.StatusServiceUnavailable, "platform is down").write(w)
 			return
 		case current.version > after:
 			writeAnswer(w, current)
