--- /dev/null
+++ b/internal/rtfake/engine_test.go
@@ -0,0 +1,234 @@
+package rtfake
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
+)
+
+// engineBubble runs a test in virtual time against an engine and its client.
+func engineBubble(t *testing.T, config EngineConfig, test func(t *testing.T, engine *Engine, client *rttarget.Engine)) {
+	t.Helper()
+	bubble(t, func(t *testing.T, network *Network) {
+		engine := NewEngine(config)
+		task := rttask.Start(t.Context(), "engine", engine.Run)
+		t.Cleanup(func() {
+			if err := task.Stop(); err != nil {
+				t.Error(err)
+			}
+		})
+		serveAt(t, network, portB, engine)
+		test(t, engine, rttarget.NewEngine(rtnet.Client(network.Host(hostA)), portB))
+	})
+}
+
+func request(id rtid.Request, prompt string, output rtid.Tokens) rttarget.GenerateRequest {
+	return rttarget.GenerateRequest{ID: id, Prompt: []byte(prompt), Output: output}
+}
+
+func start(t *testing.T, client *rttarget.Engine, request rttarget.GenerateRequest) *rttarget.Stream {
+	t.Helper()
+	stream, err := client.Generate(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return stream
+}
+
+// collect reads a stream to its end.
+func collect(stream *rttarget.Stream) (text string, last rttarget.Chunk, err error) {
+	defer func() { _ = stream.Close() }()
+	var builder strings.Builder
+	for {
+		chunk, err := stream.Next()
+		if err != nil {
+			return builder.String(), chunk, err
+		}
+		builder.WriteString(chunk.Text)
+		if chunk.End != "" {
+			return builder.String(), chunk, nil
+		}
+	}
+}
+
+// wantEnd checks the text and the end of a stream.
+func wantEnd(t *testing.T, stream *rttarget.Stream, text string, end rttarget.End) {
+	t.Helper()
+	got, last, err := collect(stream)
+	if err != nil || got != text || last.End != end {
+		t.Errorf("got %q, end %q, %v, want %q, end %q", got, last.End, err, text, end)
+	}
+}
+
+func wantStatus(t *testing.T, err error, status int) {
+	t.Helper()
+	var failure *rttarget.StatusError
+	if !errors.As(err, &failure) || failure.Status != status {
+		t.Errorf("got %v, want status %d", err, status)
+	}
+}
+
+// Guards against answers that differ between runs, and against continuations
+// that are not byte-identical.
+func TestEngineContinuesAfterPrefix(t *testing.T) {
+	engineBubble(t, EngineConfig{}, func(t *testing.T, engine *Engine, client *rttarget.Engine) {
+		whole := Answer([]byte("prompt"), 20)
+		wantEnd(t, start(t, client, request("whole", "prompt", 20)), whole, rttarget.EndDone)
+		for size := range len(whole) + 1 {
+			resumed := request(rtid.Request(fmt.Sprint(size)), "prompt", 20)
+			resumed.Prefix = []byte(whole[:size])
+			wantEnd(t, start(t, client, resumed), whole[size:], rttarget.EndDone)
+		}
+		wrong := request("wrong", "prompt", 20)
+		wrong.Prefix = []byte("not the answer")
+		_, err := client.Generate(t.Context(), wrong)
+		wantStatus(t, err, http.StatusUnprocessableEntity)
+		if used := engine.Stats().Used; used != 0 {
+			t.Errorf("%d tokens of memory used after all streams ended", used)
+		}
+	})
+}
+
+// Guards against streams that end when the client goes, and against memory
+// that stays used after a cancel.
+func TestEngineCancel(t *testing.T) {
+	engineBubble(t, EngineConfig{}, func(t *testing.T, engine *Engine, client *rttarget.Engine) {
+		stream := start(t, client, request("a", "prompt", 1000))
+		_ = stream.Close()
+		<-time.After(time.Second)
+		if got := engine.Stats().Streams; got != 1 {
+			t.Fatalf("%d live streams after the connection closed, want 1", got)
+		}
+		_, err := client.Generate(t.Context(), request("a", "prompt", 1000))
+		wantStatus(t, err, http.StatusConflict)
+		for range 2 {
+			if err := client.Cancel(t.Context(), "a"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if stats := engine.Stats(); stats.Streams != 0 || stats.Used != 0 {
+			t.Errorf("after cancel: %d streams, %d tokens used", stats.Streams, stats.Used)
+		}
+		if got := engine.Executions("a"); got != 1 {
+			t.Errorf("%d executions, want 1", got)
+		}
+	})
+}
+
+// Guards against memory that is given out twice or never comes back.
+func TestEngineMemoryFull(t *testing.T) {
+	engineBubble(t, EngineConfig{Memory: 1000}, func(t *testing.T, engine *Engine, client *rttarget.Engine) {
+		hold := rttarget.HoldRequest{ID: "hold", Tokens: 600}
+		for range 2 {
+			if err := client.Hold(t.Context(), hold); err != nil {
+				t.Fatal(err)
+			}
+		}
+		wide := request("wide", strings.Repeat("x", 4*300), 101)
+		_, err := client.Generate(t.Context(), wide)
+		wantStatus(t, err, http.StatusInsufficientStorage)
+		wide.Remote = 1
+		_ = start(t, client, wide).Close()
+		if got := engine.Stats().Used; got != 1000 {
+			t.Errorf("%d tokens used, want all 1000", got)
+		}
+		streams, err := client.Streams(t.Context())
+		want := []rttarget.EngineStream{{ID: "wide", Tokens: 400, Kind: "stream"}, {ID: "hold", Tokens: 600, Kind: "hold"}}
+		if err != nil || len(streams) != 2 || streams[0] != want[0] || streams[1] != want[1] {
+			t.Errorf("got %v, %v, want %v", streams, err, want)
+		}
+		if err := client.Unhold(t.Context(), "hold"); err != nil {
+			t.Fatal(err)
+		}
+		if got := engine.Stats().Used; got != 400 {
+			t.Errorf("%d tokens used after the hold, want 400", got)
+		}
+	})
+}
+
+// Guards against a cold engine that takes any load.
+func TestEngineColdFails(t *testing.T) {
+	engineBubble(t, EngineConfig{ColdLimit: 2, WarmAfter: 2}, func(t *testing.T, engine *Engine, client *rttarget.Engine) {
+		before := engine.Stats().Start
+		var streams []*rttarget.Stream
+		for _, id := range []rtid.Request{"a", "b", "c"} {
+			streams = append(streams, start(t, client, request(id, "prompt", 100)))
+		}
+		for _, stream := range streams {
+			if _, last, err := collect(stream); err != nil || last.End != rttarget.EndFailed {
+				t.Errorf("got end %q, %v, want failed", last.End, err)
+			}
+		}
+		stats := engine.Stats()
+		if stats.Failovers != 1 || stats.PeakCold != 3 || stats.Start <= before || stats.Used != 0 {
+			t.Errorf("got %+v, want one fail-over with 3 streams and a new start", stats)
+		}
+		for _, id := range []rtid.Request{"d", "e"} {
+			wantEnd(t, start(t, client, request(id, "prompt", 1)), Answer([]byte("prompt"), 1), rttarget.EndDone)
+		}
+		if engine.Stats().Cold {
+			t.Error("engine is cold after the completed requests")
+		}
+		engine.TurnCold()
+		begin := time.Now()
+		wantEnd(t, start(t, client, request("f", "prompt", 10)), Answer([]byte("prompt"), 10), rttarget.EndDone)
+		if got := time.Since(begin); got != 10*4*2*time.Millisecond {
+			t.Errorf("10 cold steps took %v, want 80ms", got)
+		}
+	})
+}
+
+// Guards against a prompt that is computed before one of higher priority, and
+// against prefill beyond the budget of a step.
+func TestEnginePriority(t *testing.T) {
+	config := EngineConfig{Warm: true, Prefill: 100, Cache: -1}
+	engineBubble(t, config, func(t *testing.T, _ *Engine, client *rttarget.Engine) {
+		begin := time.Now()
+		long := request("long", strings.Repeat("x", 4*1000), 1)
+		long.Priority = 1
+		slow := start(t, client, long)
+		urgent := start(t, client, request("urgent", strings.Repeat("y", 4*200), 1))
+		wantEnd(t, urgent, Answer([]byte(strings.Repeat("y", 4*200)), 1), rttarget.EndDone)
+		if got := time.Since(begin); got != 2*2*time.Millisecond {
+			t.Errorf("urgent prompt took %v, want 2 steps", got)
+		}
+		wantEnd(t, slow, Answer(long.Prompt, 1), rttarget.EndDone)
+		if got := time.Since(begin); got != 12*2*time.Millisecond {
+			t.Errorf("both prompts took %v, want 12 steps", got)
+		}
+	})
+}
+
+// Guards against a crash that looks like an ordinary end, and against a
+// frozen engine that works on.
+func TestEngineFaults(t *testing.T) {
+	engineBubble(t, EngineConfig{}, func(t *testing.T, engine *Engine, client *rttarget.Engine) {
+		stream := start(t, client, request("a", "prompt", 100))
+		engine.Freeze()
+		steps := engine.Stats().Steps
+		<-time.After(time.Minute)
+		if got := engine.Stats().Steps; got != steps {
+			t.Errorf("%d steps while frozen", got-steps)
+		}
+		engine.Thaw()
+		before := engine.Stats().Start
+		engine.Crash()
+		synctest.Wait()
+		if _, _, err := collect(stream); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("got %v, want an unexpected end of the stream", err)
+		}
+		if stats := engine.Stats(); stats.Streams != 0 || stats.Start <= before {
+			t.Errorf("got %+v, want a new start without streams", stats)
+		}
+	})
+}
