Let dials of the in-memory network check faults after the round trip

A dial that waited for its latency connected through a cut that began meanwhile. Close now also ends dials, so that a test's goroutines end. Tests cover freezes of writers, seeded latency, HTTP through cuts and private loopback addresses; all pass with -race.

--- a/internal/rtfake/engine_test.go
+++ b/internal/rtfake/engine_test.go
@@ -27,7 +27,7 @@
 				t.Error(err)
 			}
 		})
-		serveAt(t, network, portB, engine)
+		serveB(t, network, engine)
 		test(t, engine, rttarget.NewEngine(rtnet.Client(network.Host(hostA)), portB))
 	})
 }
@@ -61,12 +61,12 @@
 	}
 }
 
-// wantEnd checks the text and the end of a stream.
-func wantEnd(t *testing.T, stream *rttarget.Stream, text string, end rttarget.End) {
+// wantAnswer checks that a stream ends with the whole text.
+func wantAnswer(t *testing.T, stream *rttarget.Stream, text string) {
 	t.Helper()
 	got, last, err := collect(stream)
-	if err != nil || got != text || last.End != end {
-		t.Errorf("got %q, end %q, %v, want %q, end %q", got, last.End, err, text, end)
+	if err != nil || got != text || last.End != rttarget.EndDone {
+		t.Errorf("got %q, end %q, %v, want %q", got, last.End, err, text)
 	}
 }
 
@@ -83,11 +83,11 @@
 func TestEngineContinuesAfterPrefix(t *testing.T) {
 	engineBubble(t, EngineConfig{}, func(t *testing.T, engine *Engine, client *rttarget.Engine) {
 		whole := Answer([]byte("prompt"), 20)
-		wantEnd(t, start(t, client, request("whole", "prompt", 20)), whole, rttarget.EndDone)
+		wantAnswer(t, start(t, client, request("whole", "prompt", 20)), whole)
 		for size := range len(whole) + 1 {
 			resumed := request(rtid.Request(fmt.Sprint(size)), "prompt", 20)
 			resumed.Prefix = []byte(whole[:size])
-			wantEnd(t, start(t, client, resumed), whole[size:], rttarget.EndDone)
+			wantAnswer(t, start(t, client, resumed), whole[size:])
 		}
 		wrong := request("wrong", "prompt", 20)
 		wrong.Prefix = []byte("not the answer")
@@ -174,14 +174,14 @@
 			t.Errorf("got %+v, want one fail-over with 3 streams and a new start", stats)
 		}
 		for _, id := range []rtid.Request{"d", "e"} {
-			wantEnd(t, start(t, client, request(id, "prompt", 1)), Answer([]byte("prompt"), 1), rttarget.EndDone)
+			wantAnswer(t, start(t, client, request(id, "prompt", 1)), Answer([]byte("prompt"), 1))
 		}
 		if engine.Stats().Cold {
 			t.Error("engine is cold after the completed requests")
 		}
 		engine.TurnCold()
 		begin := time.Now()
-		wantEnd(t, start(t, client, request("f", "prompt", 10)), Answer([]byte("prompt"), 10), rttarget.EndDone)
+		wantAnswer(t, start(t, client, request("f", "prompt", 10)), Answer([]byte("prompt"), 10))
 		if got := time.Since(begin); got != 10*4*2*time.Millisecond {
 			t.Errorf("10 cold steps took %v, want 80ms", got)
 		}
@@ -198,11 +198,11 @@
 		long.Priority = 1
 		slow := start(t, client, long)
 		urgent := start(t, client, request("urgent", strings.Repeat("y", 4*200), 1))
-		wantEnd(t, urgent, Answer([]byte(strings.Repeat("y", 4*200)), 1), rttarget.EndDone)
+		wantAnswer(t, urgent, Answer([]byte(strings.Repeat("y", 4*200)), 1))
 		if got := time.Since(begin); got != 2*2*time.Millisecond {
 			t.Errorf("urgent prompt took %v, want 2 steps", got)
 		}
-		wantEnd(t, slow, Answer(long.Prompt, 1), rttarget.EndDone)
+		wantAnswer(t, slow, Answer(long.Prompt, 1))
 		if got := time.Since(begin); got != 12*2*time.Millisecond {
 			t.Errorf("both prompts took %v, want 12 steps", got)
 		}
--- a/internal/rtfake/fault.go
+++ b/internal/rtfake/fault.go
@@ -75,13 +75,16 @@
 	closeAll(listeners, connections)
 }
 
-// Close ends all listeners and connections at both ends, whatever the faults.
+// Close ends all listeners, dials and connections at both ends, whatever the
+// faults.
 func (n *Network) Close() {
 	n.mu.Lock()
+	n.closed = true
 	listeners := slices.Collect(maps.Values(n.listeners))
 	connections := slices.Collect(maps.Keys(n.connections))
 	n.mu.Unlock()
 	closeAll(listeners, connections)
+	n.wakeAll()
 }
 
 func closeAll(listeners []*listener, connections []*connection) {
--- a/internal/rtfake/network.go
+++ b/internal/rtfake/network.go
@@ -39,6 +39,7 @@
 	listeners   map[listenerKey]*listener
 	connections map[*connection]bool
 	changed     chan struct{} // closed and replaced when a fault changes
+	closed      bool
 }
 
 type linkKey struct {
@@ -115,23 +116,37 @@
 		return nil, err
 	}
 	there, back := h.network.pair(h.name, key.host)
-	for {
-		changed := h.network.watchFaults()
-		if !there.isCut() && !back.isCut() && !there.from.isFrozen() {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return nil, opError("dial", key.address, ctx.Err())
-		case <-changed:
-		}
-	}
-	if err := sleep(ctx, there.delay()+back.delay()); err != nil {
+	if err := h.network.handshake(ctx, there, back); err != nil {
 		return nil, opError("dial", key.address, err)
 	}
 	return h.network.connect(key, there, back)
 }
 
+// handshake waits until a round trip has passed with both links whole.
+func (n *Network) handshake(ctx context.Context, there, back *link) error {
+	for delayed := false; ; {
+		changed, closed := n.watchFaults()
+		whole := !there.isCut() && !back.isCut() && !there.from.isFrozen()
+		switch {
+		case closed:
+			return net.ErrClosed
+		case whole && delayed:
+			return ctx.Err()
+		case whole:
+			if err := sleep(ctx, there.delay()+back.delay()); err != nil {
+				return err
+			}
+			delayed = true
+		default:
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-changed:
+			}
+		}
+	}
+}
+
 func (n *Network) connect(key listenerKey, there, back *link) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -188,14 +203,15 @@
 	return h
 }
 
-// watchFaults returns a channel that is closed at the next change of a fault.
-func (n *Network) watchFaults() <-chan struct{} {
+// watchFaults returns a channel that is closed at the next change of a fault,
+// and whether the network is closed.
+func (n *Network) watchFaults() (<-chan struct{}, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.changed == nil {
 		n.changed = make(chan struct{})
 	}
-	return n.changed
+	return n.changed, n.closed
 }
 
 func (n *Network) forget(c *connection) {
--- a/internal/rtfake/network_test.go
+++ b/internal/rtfake/network_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -33,10 +35,10 @@
 	})
 }
 
-// serveAt serves a handler until the test ends.
-func serveAt(t *testing.T, network rtnet.Network, address rtid.Address, handler http.Handler) {
+// serveB serves a handler at host B until the test ends.
+func serveB(t *testing.T, network *Network, handler http.Handler) {
 	t.Helper()
-	listener, err := network.Listen(address)
+	listener, err := network.Listen(portB)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,10 +70,10 @@
 	return client, server
 }
 
-// readWithin reads what arrives within a duration.
-func readWithin(t *testing.T, conn net.Conn, duration time.Duration) string {
+// readSecond reads what arrives within a second.
+func readSecond(t *testing.T, conn net.Conn) string {
 	t.Helper()
-	if err := conn.SetReadDeadline(time.Now().Add(duration)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
 		t.Fatal(err)
 	}
 	var text strings.Builder
@@ -97,7 +99,7 @@
 		network.Default = func(string, string) Latency {
 			return Latency{Base: 2 * time.Millisecond, Jitter: time.Millisecond}
 		}
-		serveAt(t, network, portB, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		serveB(t, network, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(r.Body)
 			if err != nil {
 				t.Error(err)
@@ -145,14 +147,14 @@
 				writeAll(t, client, "ping")
 				writeAll(t, server, "pong")
 				test.begin(network)
-				there := readWithin(t, server, time.Second)
-				back := readWithin(t, client, time.Second)
+				there := readSecond(t, server)
+				back := readSecond(t, client)
 				if there != test.there || back != test.back {
 					t.Errorf("during the fault: got %q and %q, want %q and %q", there, back, test.there, test.back)
 				}
 				test.end(network)
-				there += readWithin(t, server, time.Second)
-				back += readWithin(t, client, time.Second)
+				there += readSecond(t, server)
+				back += readSecond(t, client)
 				if there != "ping" || back != "pong" {
 					t.Errorf("after the fault: got %q and %q, want all bytes once", there, back)
 				}
@@ -161,6 +163,107 @@
 	}
 }
 
+// Guards against a frozen process whose writes still leave, and against write
+// deadlines that do not work meanwhile.
+func TestFreezeHoldsWrites(t *testing.T) {
+	bubble(t, func(t *testing.T, network *Network) {
+		client, server := connect(t, network)
+		network.Freeze(hostA)
+		if err := client.SetWriteDeadline(time.Now().Add(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := client.Write([]byte("x")); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("got %d, %v, want deadline exceeded", n, err)
+		}
+		if err := client.SetWriteDeadline(time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(5*time.Second, func() { network.Thaw(hostA) })
+		begin := time.Now()
+		writeAll(t, client, "late")
+		if got := readSecond(t, server); got != "late" || time.Since(begin) < 5*time.Second {
+			t.Errorf("got %q after %v, want it after the thaw", got, time.Since(begin))
+		}
+	})
+}
+
+// delays returns when each of some writes arrived.
+func delays(t *testing.T, seed uint64, latency Latency) []time.Duration {
+	t.Helper()
+	var found []time.Duration
+	bubble(t, func(t *testing.T, network *Network) {
+		network.Seed = seed
+		network.SetLatency(hostA, hostB, latency)
+		client, server := connect(t, network)
+		for range 20 {
+			begin := time.Now()
+			writeAll(t, client, "x")
+			if _, err := server.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			found = append(found, time.Since(begin))
+		}
+	})
+	return found
+}
+
+// Guards against runs that one seed does not reproduce.
+func TestLatencyIsSeeded(t *testing.T) {
+	latency := Latency{Base: 2 * time.Millisecond, Jitter: time.Millisecond, Loss: 0.2}
+	first := delays(t, 1, latency)
+	if again := delays(t, 1, latency); !slices.Equal(first, again) {
+		t.Errorf("seed 1 gave %v, then %v", first, again)
+	}
+	if other := delays(t, 2, latency); slices.Equal(first, other) {
+		t.Error("seeds 1 and 2 gave the same delays")
+	}
+	if slices.Min(first) < latency.Base || slices.Max(first) < retransmission {
+		t.Errorf("got %v, want at least 2ms, and a retransmission", first)
+	}
+	for _, delay := range delays(t, 1, Latency{Base: time.Second}) {
+		if delay != time.Second {
+			t.Errorf("took %v without jitter, want 1s", delay)
+		}
+	}
+}
+
+// Guards against HTTP clients that hang, or leave goroutines behind, when
+// their context ends while a link is cut.
+func TestHTTPThroughCut(t *testing.T) {
+	bubble(t, func(t *testing.T, network *Network) {
+		serveB(t, network, http.NotFoundHandler())
+		client := rtnet.Client(network.Host(hostA))
+		client.Timeout = time.Second
+		for _, cut := range []func(){func() {}, func() { network.Cut(hostB, hostA) }, func() { network.CutBoth(hostA, hostB) }} {
+			cut()
+			begin := time.Now()
+			response, err := client.Get("http://" + string(portB))
+			if err == nil {
+				_ = response.Body.Close()
+			} else if got := time.Since(begin); got != time.Second {
+				t.Errorf("failed after %v, want 1s: %v", got, err)
+			}
+		}
+	})
+}
+
+// Guards against loopback listeners of one VM that another VM reaches.
+func TestLoopbackIsPrivate(t *testing.T) {
+	bubble(t, func(t *testing.T, network *Network) {
+		listener, err := network.Host(hostA).Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := rtid.Address(listener.Addr().String())
+		if _, err := network.Host(hostB).Dial(t.Context(), address); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("from another host: got %v, want connection refused", err)
+		}
+		if _, err := network.Host(hostA).Dial(t.Context(), address); err != nil {
+			t.Errorf("from the same host: %v", err)
+		}
+	})
+}
+
 // Guards against dials that succeed through a cut, or that hang without one.
 func TestDial(t *testing.T) {
 	bubble(t, func(t *testing.T, network *Network) {
@@ -193,7 +296,7 @@
 		writeAll(t, server, "last words")
 		network.Cut(hostB, hostA)
 		network.Kill(hostB)
-		if got := readWithin(t, client, time.Second); got != "" {
+		if got := readSecond(t, client); got != "" {
 			t.Errorf("got %q through a cut", got)
 		}
 		if _, err := server.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
--- a/internal/rtfake/platform_test.go
+++ b/internal/rtfake/platform_test.go
@@ -57,7 +57,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			bubble(t, func(t *testing.T, network *Network) {
 				platform := &Platform{}
-				serveAt(t, network, portB, platform)
+				serveB(t, network, platform)
 				if test.before != nil {
 					test.before(platform)
 				}
