--- a/internal/rtdocument/document.go
+++ b/internal/rtdocument/document.go
@@ -18,9 +18,10 @@
 
 // Organisation is a customer and what it may reach.
 type Organisation struct {
-	Name     rtid.Organisation `json:"name"`
-	Services []rtid.Service    `json:"services"` // each declared in Document.Services, sorted
-	Share    float64           `json:"share"`    // planned share of each of its services, in (0, 1]
+	Name     rtid.Organisation        `json:"name"`
+	Services []rtid.Service           `json:"services"`         // each declared in Document.Services, sorted
+	Share    float64                  `json:"share"`            // planned share of the services that Shares does not name, in (0, 1]
+	Shares   map[rtid.Service]float64 `json:"shares,omitempty"` // planned shares that differ from Share, in (0, 1]; keys are among Services
 }
 
 // Kind tells how a service is called.
@@ -86,6 +87,18 @@
 	return nil
 }
 
+// ShareOf returns the planned share of a service: 0 if the organisation may
+// not reach it.
+func (o *Organisation) ShareOf(service rtid.Service) float64 {
+	if !o.Allows(service) {
+		return 0
+	}
+	if share, differs := o.Shares[service]; differs {
+		return share
+	}
+	return o.Share
+}
+
 // Allows reports whether the organisation may reach the service.
 func (o *Organisation) Allows(service rtid.Service) bool {
 	for _, name := range o.Services {
--- /dev/null
+++ b/internal/rtdocument/document_test.go
@@ -0,0 +1,145 @@
+package rtdocument
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+const valid = `{
+"revision": 2, "base": 1,
+"organisations": [{"name": "high-court", "services": ["summaries", "filings"], "share": 0.4, "shares": {"filings": 0.6}}],
+"services": [{"name": "summaries", "kind": "draft", "model": "court-1.5"}, {"name": "filings", "kind": "order"}],
+"zones": [{"name": "wdh-b", "state": "out", "capacity": {}}, {"name": "wdh-a", "state": "in", "capacity": {"summaries": 120}}]
+}`
+
+// Guards against documents whose bytes depend on the order of the input, and
+// against shares that a decoded document loses.
+func TestDecodeEncode(t *testing.T) {
+	document, findings := Decode([]byte(valid))
+	if err := findings.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if o := document.Organisation("high-court"); o.ShareOf("summaries") != 0.4 || o.ShareOf("filings") != 0.6 || o.ShareOf("other") != 0 {
+		t.Errorf("shares: got %+v", o)
+	}
+	if document.Zones[0].Name != "wdh-a" || document.Services[0].Name != "filings" || document.ZoneState("wdh-b") != StateOut {
+		t.Errorf("not sorted: %+v", document)
+	}
+	first, err := Encode(&document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	document.Zones[0], document.Zones[1] = document.Zones[1], document.Zones[0]
+	second, err := Encode(&document)
+	if err != nil || !bytes.Equal(first, second) {
+		t.Errorf("bytes depend on the order: %v\n%s\n%s", err, first, second)
+	}
+	empty, err := Encode(&Document{Zones: []Zone{{}}})
+	if err != nil || bytes.Contains(empty, []byte("null")) {
+		t.Errorf("empty document: %v\n%s", err, empty)
+	}
+}
+
+// Guards against invalid documents that come into force, findings that hide
+// others, and findings with a wrong place.
+func TestDecodeFindings(t *testing.T) {
+	tests := []struct {
+		name     string
+		old, new string   // replaced in valid
+		want     []string // beginnings of the findings, in order; none else may occur
+	}{
+		{"unknown fields", `"base": 1`, `"base": 1, "Base": 1, "x": {}`, []string{`2:27: Base: unknown field`, `2:38: x: unknown field`}},
+		{"field twice", `"base": 1`, `"base": 1, "base": 0`, []string{`2:27: base: field is given twice`}},
+		{"missing fields", `"revision": 2, "base": 1,`, ``, []string{`1:1: revision: field is missing`, `1:1: base: field is missing`}},
+		{"wrong types", `"share": 0.4`, `"share": "0.4", "name": 1`, []string{`3:89: organisations[0].share: is a string, want a number`, `3:96: organisations[0].name: field is given twice`}},
+		{"null", `"capacity": {}`, `"capacity": null`, []string{`5:57: zones[0].capacity: is null, want an object`}},
+		{"number out of range", `120`, `1e999`, []string{`zones[1].capacity.summaries: number 1e999 is out of range`}},
+		{"revision of another form", `"revision": 2`, `"revision": 2.5`, []string{`revision: is 2.5, want a whole number`}},
+		{"revision", `"revision": 2`, `"revision": 1`, []string{`2:13: revision: revision 1 is not greater than base 1`}},
+		{"syntax", `"base": 1,`, `"base": 1,,`, []string{`not valid JSON`}},
+		{"cut off", `]` + "\n}", ``, []string{`not valid JSON: unexpected EOF`}},
+		{"text after the end", "\n}", "\n}\n7", []string{`7:1: not valid JSON: text after the end`}},
+		{"depth", `"base": 1`, `"base": ` + strings.Repeat("[", 100000), []string{`not valid JSON: nested`}},
+		{"size", `"base": 1`, `"base": 1` + strings.Repeat(" ", int(MaxSize)), []string{`document has`}},
+		{"invalid names", `"high-court"`, `"high court"`, []string{`organisations[0].name: name "high court"`}},
+		{"service twice", `"name": "filings"`, `"name": "summaries"`, []string{`3:68: organisations[0].services[1]: service "filings" is not declared`, `4:85: services[1].name: name "summaries" is given twice`}},
+		{"zone twice", `"wdh-b"`, `"wdh-a"`, []string{`5:71: zones[1].name: name "wdh-a" is given twice`}},
+		{"service reached twice", `["summaries", "filings"]`, `["summaries", "filings", "filings"]`, []string{`organisations[0].services[2]: service "filings" is given twice`}},
+		{"share zero", `"share": 0.4`, `"share": 0`, []string{`organisations[0].share: share 0`}},
+		{"share over 1", `"filings": 0.6`, `"filings": 1.1`, []string{`organisations[0].shares.filings: share 1.1`, `services[1]: shares of service "filings" add up to 1.1`}},
+		{"share of another service", `"filings": 0.6`, `"letters": 0.6`, []string{`organisations[0].shares.letters: service "letters" is not among`}},
+		{"sum of shares", `"share": 0.4`, `"share": 0.4}, {"name": "b", "services": ["summaries"], "share": 0.7}, {"name": "c", "services": [], "share": 1`, []string{
+			`organisations[2].shares.filings: service "filings" is not among`, `services[0]: shares of service "summaries" add up to 1.1`}},
+		{"state", `"state": "in"`, `"state": "on"`, []string{`5:10: zones: warning: no availability zone is in`, `zones[1].state: state "on"`}},
+		{"state missing", `"state": "out", `, ``, []string{`5:11: zones[0].state: field is missing`}},
+		{"capacity", `120`, `-1, "letters": 2`, []string{`zones[1].capacity.summaries: capacity -1`, `zones[1].capacity.letters: service "letters" is not declared`}},
+		{"no model", `, "model": "court-1.5"`, ``, []string{`services[0].model: model ""`}},
+		{"model in a path", `court-1.5`, `../x`, []string{`services[0].model: model "../x"`}},
+		{"model of an order", `"kind": "order"`, `"kind": "order", "model": "m"`, []string{`services[1].model: service of kind "order" has a model`}},
+		{"kind", `"kind": "order"`, `"kind": "call"`, []string{`services[1].kind: kind "call"`}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			text := strings.Replace(valid, test.old, test.new, 1)
+			if text == valid {
+				t.Fatal("nothing was replaced")
+			}
+			_, findings := Decode([]byte(text))
+			all := findings.All()
+			if len(all) != len(test.want) {
+				t.Fatalf("got %d findings, want %d: %v", len(all), len(test.want), all)
+			}
+			for i, want := range test.want {
+				if !strings.Contains(all[i].String(), want) {
+					t.Errorf("finding %d: got %s, want %s", i, all[i], want)
+				}
+			}
+		})
+	}
+}
+
+// sample returns a valid document of the given size with 9 services and 12
+// availability zones, the size to design for.
+func sample(organisations int) *Document {
+	d := &Document{Revision: 1}
+	for i := range 9 {
+		d.Services = append(d.Services, Service{Name: rtid.Service(fmt.Sprintf("service-%d", i)), Kind: KindDraft, Model: "m"})
+	}
+	for i := range organisations {
+		o := Organisation{Name: rtid.Organisation(fmt.Sprintf("organisation-%d", i)), Share: 1 / float64(organisations)}
+		for _, s := range d.Services {
+			o.Services = append(o.Services, s.Name)
+		}
+		d.Organisations = append(d.Organisations, o)
+	}
+	for i := range 12 {
+		z := Zone{Name: rtid.Zone(fmt.Sprintf("zone-%d", i)), State: StateIn, Capacity: map[rtid.Service]float64{}}
+		for _, s := range d.Services {
+			z.Capacity[s.Name] = 100.5
+		}
+		d.Zones = append(d.Zones, z)
+	}
+	return d
+}
+
+func BenchmarkDecode(b *testing.B) {
+	for _, organisations := range []int{20, 220} {
+		data, err := Encode(sample(organisations))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			b.SetBytes(int64(len(data)))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, findings := Decode(data); findings.Err() != nil {
+					b.Fatal(findings.Err())
+				}
+			}
+		})
+	}
+}
