--- a/internal/rtdocument/decode.go
+++ b/internal/rtdocument/decode.go
@@ -34,7 +34,7 @@
 	for _, finding := range check.All() {
 		reader.addCheckFinding(&findings, finding)
 	}
-	document.sort()
+	document.Sort()
 	return document, findings
 }
 
@@ -289,7 +289,7 @@
 // equal bytes, whatever the order of their lists.
 func Encode(document *Document) ([]byte, error) {
 	sorted := document.clone()
-	sorted.sort()
+	sorted.Sort()
 	var buffer bytes.Buffer
 	encoder := json.NewEncoder(&buffer)
 	encoder.SetIndent("", "  ")
--- a/internal/rtdocument/diff.go
+++ b/internal/rtdocument/diff.go
@@ -14,8 +14,8 @@
 func Diff(from, to *Document) ([]string, rtfinding.List) {
 	d := differ{}
 	from, to = from.clone(), to.clone()
-	from.sort()
-	to.sort()
+	from.Sort()
+	to.Sort()
 	diffNamed(&d, "service", byName(from.Services, serviceName), byName(to.Services, serviceName), d.service)
 	diffNamed(&d, "organisation", byName(from.Organisations, organisationName), byName(to.Organisations, organisationName), d.organisation)
 	diffNamed(&d, "availability zone", byName(from.Zones, zoneName), byName(to.Zones, zoneName), d.zone)
--- a/internal/rtdocument/sort.go
+++ b/internal/rtdocument/sort.go
@@ -8,8 +8,8 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
 
-// sort puts all lists in the order of names.
-func (d *Document) sort() {
+// Sort puts all lists in the order of names.
+func (d *Document) Sort() {
 	slices.SortStableFunc(d.Organisations, func(a, b Organisation) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	slices.SortStableFunc(d.Services, func(a, b Service) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	slices.SortStableFunc(d.Zones, func(a, b Zone) int { return strings.Compare(string(a.Name), string(b.Name)) })
