--- a/internal/rtnode/node.go
+++ b/internal/rtnode/node.go
@@ -3,8 +3,9 @@
 package rtnode
 
 import (
-	"context"
+	"cmp"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,7 @@
 	document    *rtdocument.Document
 	body        []byte
 	changed     chan struct{} // closed at the next change of version
+	roster      rtid.Version  // version of members, rises only
 	members     map[rtid.VM]*rtwire.Member
 	heard       map[rtid.Target]View
 	started     chan struct{}
@@ -135,6 +137,7 @@
 		Address:     string(n.options.Settings.Peers),
 		Incarnation: uint64(n.incarnation),
 		Version:     uint64(n.version),
+		Roster:      uint64(n.roster),
 		Leaving:     n.leaving,
 		Ready:       n.ready,
 		Confirmed:   durationpb.New(0),
@@ -172,17 +175,44 @@
 
 // Targets returns the agents in this process's subset that serve a service,
 // sorted by target.
-func (n *Node) Targets(_ rtid.Service) []View { return nil }
+func (n *Node) Targets(service rtid.Service) []View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var views []View
+	for _, member := range n.members {
+		if member.Role == rtwire.Role_ROLE_AGENT && member.Service == string(service) {
+			views = append(views, n.view(member))
+		}
+	}
+	slices.SortFunc(views, func(a, b View) int { return cmp.Compare(a.Target, b.Target) })
+	return views
+}
 
 // Find returns what is known about the agent of a target, in the subset or not.
-func (n *Node) Find(_ rtid.Target) (View, bool) { return View{}, false }
-
-// Handler returns the handler of the Peer service.
-func (n *Node) Handler() http.Handler { return http.NotFoundHandler() }
+func (n *Node) Find(target rtid.Target) (View, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, member := range n.members {
+		if member.Role == rtwire.Role_ROLE_AGENT && member.Target == string(target) {
+			return n.view(member), true
+		}
+	}
+	view, found := n.heard[target]
+	return view, found
+}
 
-// Run learns the configuration and the list of VMs, then exchanges heartbeats
-// until the context ends.
-func (n *Node) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+// view joins the list of VMs with the last status heard. n.mu is held.
+func (n *Node) view(member *rtwire.Member) View {
+	view := View{
+		Target:  rtid.Target(member.Target),
+		Service: rtid.Service(member.Service),
+		Zone:    rtid.Zone(member.Zone),
+		Address: rtid.Address(member.Address),
+	}
+	if heard, found := n.heard[view.Target]; found {
+		view = heard
+		view.Alive = time.Since(heard.Heard) <= 3*n.heartbeat()
+	}
+	view.Leaving = view.Leaving || member.Leaving
+	return view
 }
