--- /dev/null
+++ b/internal/rtentry/entry.go
@@ -0,0 +1,115 @@
+// Package rtentry is the entry: it accepts callers' HTTP requests, chooses a
+// target and relays the answer.
+//
+// An entry predicts, chooses and relays. The agents keep the guarantees, so a
+// wrong prediction costs a round trip and no more.
+package rtentry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdump"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+// Defaults of settings that are zero.
+const (
+	defaultLongest   = 10 * time.Minute
+	defaultDrain     = 10 * time.Minute
+	defaultOperators = rtid.Address("127.0.0.1:0")
+)
+
+// Node is the part of rtnode.Node that an entry uses.
+type Node interface {
+	Started() <-chan struct{}
+	Document() (rtid.Version, *rtdocument.Document)
+	SetReady(ready bool)
+	SetLeaving()
+	Status() *rtwire.Status
+	Observe(status *rtwire.Status)
+	Targets(service rtid.Service) []rtnode.View
+	Find(target rtid.Target) (rtnode.View, bool)
+	Handler() http.Handler
+	Run(ctx context.Context) error
+}
+
+// Dependencies are what an entry needs from its program.
+type Dependencies struct {
+	Network rtnet.Network
+	Log     logr.Logger
+	Metrics *rtmetric.Metrics
+	Dump    *rtdump.Registry // optional
+	Node    Node             // optional; made from the settings if nil
+}
+
+// Entry is one entry process.
+type Entry struct {
+	settings rtsettings.Entry
+	network  rtnet.Network
+	log      logr.Logger
+	metrics  *rtmetric.Metrics
+	dump     *rtdump.Registry
+	node     Node
+	agents   agents
+	ready    atomic.Bool // new requests are welcome
+	leaving  atomic.Bool // never goes back to false
+}
+
+// New returns an entry that has not started.
+func New(settings rtsettings.Entry, dependencies Dependencies) (*Entry, error) {
+	setDefaults(&settings)
+	entry := &Entry{
+		settings: settings,
+		network:  dependencies.Network,
+		log:      dependencies.Log.WithName("entry"),
+		metrics:  dependencies.Metrics,
+		dump:     dependencies.Dump,
+		node:     dependencies.Node,
+		agents:   newAgents(dependencies.Network),
+	}
+	if entry.metrics == nil {
+		metrics, err := rtmetric.New("rhubarbtally_entry")
+		if err != nil {
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+		entry.metrics = metrics
+	}
+	if entry.dump == nil {
+		entry.dump = &rtdump.Registry{}
+	}
+	if entry.node == nil {
+		entry.node = rtnode.New(rtnode.Options{
+			Settings: settings.Common,
+			Role:     rtwire.Role_ROLE_ENTRY,
+			Network:  dependencies.Network,
+			Log:      dependencies.Log,
+			Metrics:  entry.metrics.Scope,
+		})
+	}
+	return entry, nil
+}
+
+// setDefaults fills settings that are zero.
+func setDefaults(settings *rtsettings.Entry) {
+	if settings.Longest == 0 {
+		settings.Longest = rtsettings.Duration(defaultLongest)
+	}
+	if settings.Drain == 0 {
+		settings.Drain = rtsettings.Duration(defaultDrain)
+	}
+	if settings.Operators == "" {
+		settings.Operators = defaultOperators
+	}
+}
--- /dev/null
+++ b/internal/rtentry/operators.go
@@ -0,0 +1,65 @@
+package rtentry
+
+import (
+	"net/http"
+	"runtime/debug"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// statusBody is the answer of GET /status for operators.
+type statusBody struct {
+	VM        string `json:"vm"`
+	Role      string `json:"role"`
+	Zone      string `json:"zone"`
+	Version   uint64 `json:"version"`  // of the document in force
+	Revision  uint64 `json:"revision"` // of the document in force
+	Ready     bool   `json:"ready"`
+	Leaving   bool   `json:"leaving"`
+	State     string `json:"state"` // of the zone: "in", "out", or "unknown" without a document
+	Conflicts uint64 `json:"conflicts"`
+	Build     string `json:"build"`
+}
+
+// operators returns the handler of the operators' listener.
+func (e *Entry) operators() http.Handler {
+	router := httprouter.New()
+	router.Handler(http.MethodGet, "/metrics", e.metrics.Handler)
+	router.Handler(http.MethodGet, "/dump", e.dump)
+	router.HandlerFunc(http.MethodGet, "/status", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, e.status())
+	})
+	router.HandlerFunc(http.MethodGet, "/health", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	return router
+}
+
+// status returns what operators see of this process.
+func (e *Entry) status() statusBody {
+	version, document := e.node.Document()
+	body := statusBody{
+		VM:      string(e.settings.VM),
+		Role:    "entry",
+		Zone:    string(e.settings.Zone),
+		Version: uint64(version),
+		Ready:   e.ready.Load(),
+		Leaving: e.leaving.Load(),
+		State:   "unknown",
+		Build:   buildVersion(),
+	}
+	if document != nil {
+		body.Revision = uint64(document.Revision)
+		body.State = string(document.ZoneState(e.settings.Zone))
+	}
+	return body
+}
+
+// buildVersion returns the version of the main module.
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/rtentry/order.go
@@ -0,0 +1,202 @@
+package rtentry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
+)
+
+// orderHome is the only agent incarnation that may run one order. All calls
+// about an order go through it, and it holds one address, so that an order
+// cannot be sent to two targets.
+type orderHome struct {
+	entry        *Entry
+	request      rtid.Request
+	home         rtid.Home
+	organisation rtid.Organisation
+	view         rtnode.View
+}
+
+// postOrder serves POST /v1/orders: it hands out an id and runs nothing.
+func (e *Entry) postOrder(x *exchange) *refusal {
+	body, refused := readBody(x.w, x.r, maxSmallBody)
+	if refused != nil {
+		return refused
+	}
+	service, refused := decodeService(body)
+	if refused != nil {
+		return refused
+	}
+	if refused := x.checkPlan(service, rtdocument.KindOrder); refused != nil {
+		return refused
+	}
+	view, ok := e.chooseHome(x.document, service)
+	if !ok {
+		return notRun(http.StatusServiceUnavailable, rtapi.ReasonCapacity, true, "no target of the service can take an order now")
+	}
+	id := rtid.NewRequest(homeOf(view, rtid.KindOrder, x.organisation.Name))
+	writeJSON(x.w, http.StatusCreated, rtapi.OrderID{ID: string(id)})
+	return nil
+}
+
+// putOrder serves PUT /v1/orders/{id}: it runs the order at its home.
+func (e *Entry) putOrder(x *exchange) *refusal {
+	limit, refused := e.orderLimit(x)
+	if refused != nil {
+		return refused
+	}
+	home, refused := e.orderHomeOf(x)
+	if refused != nil {
+		return refused
+	}
+	if refused := x.checkPlan(home.view.Service, rtdocument.KindOrder); refused != nil {
+		return refused
+	}
+	body, refused := readBody(x.w, x.r, maxOrderBody)
+	if refused != nil {
+		return refused
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.arrived.Add(limit))
+	defer cancel()
+	reply := home.run(ctx, home.offerOf(x, body))
+	return writeOrder(x, reply)
+}
+
+// orderLimit returns the time limit of an order.
+func (e *Entry) orderLimit(x *exchange) (time.Duration, *refusal) {
+	var f fields
+	text := x.r.URL.Query().Get("limit")
+	limit := f.limit(text, time.Duration(e.settings.Longest))
+	if len(f.findings) > 0 {
+		return 0, malformed(f.findings...)
+	}
+	return limit, nil
+}
+
+// orderHomeOf returns the home that the id in the path names.
+func (e *Entry) orderHomeOf(x *exchange) (*orderHome, *refusal) {
+	home, refused := x.home(rtid.KindOrder)
+	if refused != nil {
+		return nil, refused
+	}
+	view, ok := e.node.Find(home.Target)
+	if !ok {
+		return nil, unreachable(x.id)
+	}
+	return &orderHome{entry: e, request: x.id, home: home, organisation: x.organisation.Name, view: view}, nil
+}
+
+// unreachable returns the answer about a request whose home does not answer.
+func unreachable(id rtid.Request) *refusal {
+	refused := notRun(http.StatusGatewayTimeout, rtapi.ReasonUnreachable, true,
+		"the home of the request does not answer; ask again with the same id")
+	refused.body.Outcome = rtapi.Unknown
+	refused.body.ID = string(id)
+	return refused
+}
+
+// offerOf returns the offer of the order to its home.
+func (h *orderHome) offerOf(x *exchange, body []byte) *rtwire.OfferRequest {
+	return &rtwire.OfferRequest{
+		Request:      string(h.request),
+		Attempt:      1,
+		Organisation: string(h.organisation),
+		Service:      string(h.view.Service),
+		Kind:         rtwire.Kind_KIND_ORDER,
+		Body:         body,
+		Tokens:       int64(rtid.EstimateTokens(rtid.Bytes(len(body)))),
+		Version:      uint64(x.version),
+		Incarnation:  uint64(h.home.Incarnation),
+		Sender:       h.entry.node.Status(),
+	}
+}
+
+// run offers the order to its home and waits for its end. A lost reply is
+// resolved by Query. The offer is repeated only while the home does not know
+// the id, and the home runs an id at most once. It returns nil if the home
+// gave no final word within the time limit.
+func (h *orderHome) run(ctx context.Context, offer *rtwire.OfferRequest) *rtwire.QueryReply {
+	query := queryOf(offer)
+	pause := newBackoff()
+	send := true
+	for {
+		if send {
+			refreshRemaining(ctx, offer)
+			reply, err := h.entry.offer(ctx, h.view.Address, offer)
+			if err == nil && settled(reply.GetOutcome(), reply.GetReason()) &&
+				reply.GetOutcome() != rtwire.Outcome_OUTCOME_DONE {
+				return &rtwire.QueryReply{Outcome: reply.GetOutcome(), Reason: reply.GetReason(), Detail: reply.GetDetail()}
+			}
+		}
+		reply, err := h.entry.query(ctx, h.view.Address, query)
+		if err == nil && settled(reply.GetOutcome(), reply.GetReason()) {
+			return reply
+		}
+		send = err == nil && reply.GetOutcome() == rtwire.Outcome_OUTCOME_UNKNOWN
+		if !pause.wait(ctx) {
+			return nil
+		}
+	}
+}
+
+// settled reports whether an agent's word about an order is its last.
+func settled(outcome rtwire.Outcome, reason rtwire.Reason) bool {
+	switch outcome {
+	case rtwire.Outcome_OUTCOME_ACCEPTED:
+		return false
+	case rtwire.Outcome_OUTCOME_UNKNOWN:
+		return reason != rtwire.Reason_REASON_NONE
+	default:
+		return true
+	}
+}
+
+// writeOrder answers with the end of an order.
+func writeOrder(x *exchange, reply *rtwire.QueryReply) *refusal {
+	if reply == nil {
+		refused := unreachable(x.id)
+		refused.body.Reason = rtapi.ReasonDeadline
+		refused.body.Detail = "the order had no end within the time limit; ask again with the same id"
+		return refused
+	}
+	if reply.GetOutcome() == rtwire.Outcome_OUTCOME_DONE {
+		writeJSON(x.w, http.StatusOK, statusOf(x.id, reply))
+		return nil
+	}
+	return orderRefusal(x.id, reply)
+}
+
+// orderRefusal returns the answer about an order that has not been done.
+func orderRefusal(id rtid.Request, reply *rtwire.QueryReply) *refusal {
+	reason := reasons[reply.GetReason()]
+	refused := notRun(http.StatusServiceUnavailable, reason, orderRetry(reply), reply.GetDetail())
+	refused.body.ID = string(id)
+	refused.body.Outcome = outcomeOf(reply.GetOutcome())
+	switch {
+	case reason == rtapi.ReasonConflict:
+		refused.status = http.StatusConflict
+	case reason == rtapi.ReasonPlan:
+		refused.status = http.StatusForbidden
+	case reason == rtapi.ReasonMalformed:
+		refused.status = http.StatusBadRequest
+	case refused.body.Outcome == rtapi.Unknown:
+		refused.status = http.StatusGatewayTimeout
+	case refused.body.Outcome == rtapi.Failed:
+		refused.status = http.StatusBadGateway
+	}
+	return refused
+}
+
+// orderRetry reports whether an order may be sent again with the same id. A
+// home that has failed an order, or that has lost its record, never runs the
+// id again, so that another try gets the same answer.
+func orderRetry(reply *rtwire.QueryReply) bool {
+	return reply.GetOutcome() == rtwire.Outcome_OUTCOME_NOT_RUN && retriesElsewhere(reasons[reply.GetReason()]) &&
+		reply.GetReason() != rtwire.Reason_REASON_INCARNATION
+}
--- a/pkg/rtapi/api.go
+++ b/pkg/rtapi/api.go
@@ -1,6 +1,11 @@
-// Package rtapi holds the types of the callers' HTTP interface.
+// Package rtapi holds the types of the callers' HTTP interface and a client.
 package rtapi
 
+import (
+	"encoding/json"
+	"fmt"
+)
+
 // Outcome is the closed set of results that a caller can get for a request.
 type Outcome int
 
@@ -15,3 +20,137 @@
 )
 
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Outcome -linecomment
+
+// MarshalText returns the name of the outcome.
+func (i Outcome) MarshalText() ([]byte, error) {
+	return []byte(i.String()), nil
+}
+
+// UnmarshalText accepts the name of an outcome.
+func (i *Outcome) UnmarshalText(text []byte) error {
+	for outcome := Unknown; outcome <= Done; outcome++ {
+		if outcome.String() == string(text) {
+			*i = outcome
+			return nil
+		}
+	}
+	return fmt.Errorf("outcome %q is not known", text)
+}
+
+// Reason tells why a request has its outcome. It is empty for Done.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone         Reason = ""
+	ReasonZone         Reason = "zone"         // availability zone is out
+	ReasonLeaving      Reason = "leaving"      // target is leaving
+	ReasonDeadline     Reason = "deadline"     // time limit too short, or reached
+	ReasonQueue        Reason = "queue"        // queue of the target is full
+	ReasonMemory       Reason = "memory"       // not enough memory at the target
+	ReasonPlan         Reason = "plan"         // organisation may not reach the service
+	ReasonIncarnation  Reason = "incarnation"  // the only process that knew the request is gone
+	ReasonConflict     Reason = "conflict"     // same id with another body
+	ReasonExpired      Reason = "expired"      // id is older than the records kept
+	ReasonCancelled    Reason = "cancelled"    // cancelled by the caller
+	ReasonTarget       Reason = "target"       // target failed or refused
+	ReasonNotReady     Reason = "notready"     // process has not started to serve, or is stopping
+	ReasonMalformed    Reason = "malformed"    // request is not valid
+	ReasonPaused       Reason = "paused"       // process was paused before dispatch
+	ReasonOrganisation Reason = "organisation" // over the organisation's limit
+	ReasonCapacity     Reason = "capacity"     // no target can take the request now
+	ReasonBudget       Reason = "budget"       // refused once, and the retry budget is used up
+	ReasonUnreachable  Reason = "unreachable"  // home of the request cannot be reached
+	ReasonIncomplete   Reason = "incomplete"   // answer is damaged or incomplete
+	ReasonNotFound     Reason = "notfound"     // no such request
+)
+
+// DraftRequest is the body of POST /v1/drafts.
+type DraftRequest struct {
+	Service string `json:"service"`
+	Prompt  string `json:"prompt"` // at most 8 MiB of UTF-8
+	Output  int64  `json:"output"` // most tokens of the answer, at least 1
+	Limit   string `json:"limit"`  // time limit as a Go duration, such as "30s"
+}
+
+// OrderRequest is the body of POST /v1/orders.
+type OrderRequest struct {
+	Service string `json:"service"`
+}
+
+// OrderID is the answer of POST /v1/orders.
+type OrderID struct {
+	ID string `json:"id"`
+}
+
+// Status is the answer of the status, cancel and order routes.
+type Status struct {
+	ID      string  `json:"id"`
+	Outcome Outcome `json:"outcome"` // Unknown while the request waits or runs
+	Reason  Reason  `json:"reason,omitempty"`
+	Running bool    `json:"running"`          // waits or runs
+	Result  []byte  `json:"result,omitempty"` // of an order; base64 in JSON
+}
+
+// Finding is one fault of a request.
+type Finding struct {
+	Field string `json:"field"` // JSON field, header or query parameter
+	Text  string `json:"text"`
+}
+
+// ErrorBody is the body of an answer that is not a success.
+type ErrorBody struct {
+	ID       string    `json:"id,omitempty"` // set if the request has one
+	Outcome  Outcome   `json:"outcome"`
+	Reason   Reason    `json:"reason"`
+	Detail   string    `json:"detail"`
+	Retry    bool      `json:"retry"` // the same request may be sent again; an order with the same id
+	Findings []Finding `json:"findings,omitempty"`
+}
+
+// Kinds of events.
+const (
+	EventStart = "start"
+	EventText  = "text"
+	EventEnd   = "end"
+)
+
+// Event is one line of the stream of a draft. A stream without the end event
+// is incomplete.
+type Event struct {
+	Event    string  `json:"event"`
+	ID       string  `json:"id"`       // start: id to resume with
+	Offset   int64   `json:"offset"`   // text: bytes of the answer before Text
+	Text     string  `json:"text"`     // text
+	Outcome  Outcome `json:"outcome"`  // end
+	Reason   Reason  `json:"reason"`   // end
+	Size     int64   `json:"size"`     // end: bytes of the whole answer
+	Checksum string  `json:"checksum"` // end: xxhash64 of the whole answer, 16 hexadecimal digits
+	Retry    bool    `json:"retry"`    // end: the same request may be sent again
+}
+
+// MarshalJSON writes only the fields of the kind of event.
+func (e Event) MarshalJSON() ([]byte, error) {
+	switch e.Event {
+	case EventStart:
+		return json.Marshal(struct {
+			Event string `json:"event"`
+			ID    string `json:"id"`
+		}{e.Event, e.ID})
+	case EventText:
+		return json.Marshal(struct {
+			Event  string `json:"event"`
+			Offset int64  `json:"offset"`
+			Text   string `json:"text"`
+		}{e.Event, e.Offset, e.Text})
+	default:
+		return json.Marshal(struct {
+			Event    string  `json:"event"`
+			Outcome  Outcome `json:"outcome"`
+			Reason   Reason  `json:"reason"`
+			Size     int64   `json:"size"`
+			Checksum string  `json:"checksum"`
+			Retry    bool    `json:"retry"`
+		}{e.Event, e.Outcome, e.Reason, e.Size, e.Checksum, e.Retry})
+	}
+}
