--- /dev/null
+++ b/internal/rtagent/draft_test.go
@@ -0,0 +1,37 @@
+package rtagent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+// Guards against answers that are cut, changed or given for another prompt.
+func TestDraftRuns(t *testing.T) {
+	inWorld(t, func(w *world) {
+		engine := w.engine(1, rtfake.EngineConfig{})
+		agent := w.agent(settings(1))
+		offer := agent.draft("a prompt", 50, time.Minute)
+		agent.accept(offer)
+		agent.accept(offer)
+		text := agent.want(offer.Request, rtwire.Outcome_OUTCOME_DONE, rtwire.Reason_REASON_NONE)
+		if want := rtfake.Answer([]byte("a prompt"), 50); text != want {
+			t.Errorf("got %q, want %q", text, want)
+		}
+		for offset := range text {
+			rest, _, err := agent.read(offer.Request, offset)
+			if err != nil || rest != text[offset:] {
+				t.Fatalf("from %d: got %q, %v, want %q", offset, rest, err, text[offset:])
+			}
+		}
+		if reply := agent.query(offer.Request); reply.Outcome != rtwire.Outcome_OUTCOME_DONE {
+			t.Errorf("query says %v", reply.Outcome)
+		}
+		agent.send(offer, rtwire.Outcome_OUTCOME_DONE, rtwire.Reason_REASON_NONE)
+		if used := engine.Stats().Used; used != 0 {
+			t.Errorf("%d tokens used at the end", used)
+		}
+	})
+}
