--- /dev/null
+++ b/internal/rtanswer/answer_test.go
@@ -0,0 +1,169 @@
+package rtanswer
+
+import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+const id rtid.Request = "d.t.1.0.00000000.00"
+
+var end = time.UnixMilli(1)
+
+// filled returns a buffer with a finished answer.
+func filled(t testing.TB, parts ...string) *Buffer {
+	t.Helper()
+	buffer := NewBuffer(id, 1, MaxSize)
+	for _, part := range parts {
+		if err := buffer.Append([]byte(part)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	buffer.Finish(rtwire.Outcome_OUTCOME_DONE, rtwire.Reason_REASON_NONE, "", end)
+	return buffer
+}
+
+// framesOf reads all frames from an offset in batches.
+func framesOf(t testing.TB, buffer *Buffer, offset int64, batch int) []*rtwire.Frame {
+	t.Helper()
+	var all []*rtwire.Frame
+	for {
+		frames, final, _, err := buffer.Read(offset, batch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, frames...)
+		if final {
+			return all
+		}
+		last := frames[len(frames)-1]
+		offset = last.Offset + int64(len(last.Text))
+	}
+}
+
+// assembled feeds frames to an assembler.
+func assembled(frames []*rtwire.Frame, offset int64) (string, bool, error) {
+	assembler := NewAssembler(id, 1, offset)
+	var text bytes.Buffer
+	for _, frame := range frames {
+		assembler.Add(frame)
+		text.Write(assembler.Next())
+	}
+	_, complete, err := assembler.Final()
+	return text.String(), complete, err
+}
+
+// Guards against lost, doubled or mixed text when frames come late, twice, out
+// of order or from another request or attempt.
+func TestAssemblerOrder(t *testing.T) {
+	parts := []string{"one ", "two ", strings.Repeat("x", 2*MaxFrameText+1), "", " three"}
+	whole := strings.Join(parts, "")
+	buffer := filled(t, parts...)
+	random := rand.New(rand.NewPCG(1, 2))
+	for round := range 200 {
+		offset := int64(random.IntN(len(whole) + 1))
+		if round%2 == 0 {
+			offset = 0
+		}
+		frames := framesOf(t, buffer, offset, 1+random.IntN(100_000))
+		for _, frame := range frames {
+			foreign := proto.Clone(frame).(*rtwire.Frame)
+			foreign.Request = "other"
+			late := proto.Clone(frame).(*rtwire.Frame)
+			late.Attempt = 2
+			frames = append(frames, frame, foreign, late)
+		}
+		random.Shuffle(len(frames), func(i, j int) { frames[i], frames[j] = frames[j], frames[i] })
+		text, complete, err := assembled(frames, offset)
+		if err != nil || !complete || text != whole[offset:] {
+			t.Fatalf("round %d from %d: %d bytes, complete %v, %v, want %d", round, offset, len(text), complete, err, len(whole)-int(offset))
+		}
+	}
+}
+
+// Guards against a truncated or changed stream that counts as complete.
+func TestAssemblerRefuses(t *testing.T) {
+	tests := []struct {
+		name    string
+		change  func([]*rtwire.Frame) []*rtwire.Frame
+		corrupt bool
+	}{
+		{"no final", func(f []*rtwire.Frame) []*rtwire.Frame { return f[:2] }, false},
+		{"no first", func(f []*rtwire.Frame) []*rtwire.Frame { return f[1:] }, false},
+		{"no middle", func(f []*rtwire.Frame) []*rtwire.Frame { return append(f[:1:1], f[2]) }, false},
+		{"changed text", func(f []*rtwire.Frame) []*rtwire.Frame { f[1].Text = []byte("TWO"); return f }, true},
+		{"short text", func(f []*rtwire.Frame) []*rtwire.Frame { f[1].Text = []byte("tw"); return f }, true},
+		{"wrong offset", func(f []*rtwire.Frame) []*rtwire.Frame { f[1].Offset++; return f }, true},
+		{"wrong count", func(f []*rtwire.Frame) []*rtwire.Frame { f[2].Final.Count = 1; return f }, true},
+		{"wrong size", func(f []*rtwire.Frame) []*rtwire.Frame { f[2].Final.Size++; return f }, true},
+	}
+	for _, test := range tests {
+		frames := test.change(framesOf(t, filled(t, "one", "two"), 0, 100))
+		_, complete, err := assembled(frames, 0)
+		if complete || errors.Is(err, ErrCorrupt) != test.corrupt {
+			t.Errorf("%s: complete %v, %v, want corrupt %v", test.name, complete, err, test.corrupt)
+		}
+	}
+}
+
+// Guards against answers over the limit, changes after the end, and answers
+// that stay in memory or go too early.
+func TestBufferLife(t *testing.T) {
+	buffer := NewBuffer(id, 1, 4)
+	_, _, changed, _ := buffer.Read(0, 100)
+	if err := buffer.Append([]byte("abcd")); err != nil {
+		t.Fatal(err)
+	}
+	<-changed
+	if err := buffer.Append([]byte("e")); !errors.Is(err, ErrSize) {
+		t.Errorf("append over the limit: %v", err)
+	}
+	if buffer.Acknowledge() || buffer.Expire(end.Add(time.Hour)) {
+		t.Error("an answer without end is gone")
+	}
+	_, _, changed, _ = buffer.Read(4, 100)
+	buffer.Finish(rtwire.Outcome_OUTCOME_DONE, rtwire.Reason_REASON_NONE, "", end)
+	<-changed
+	if buffer.Finish(rtwire.Outcome_OUTCOME_FAILED, rtwire.Reason_REASON_TARGET, "", end) {
+		t.Error("an answer ends twice")
+	}
+	if err := buffer.Append([]byte("e")); !errors.Is(err, ErrEnded) {
+		t.Errorf("append after the end: %v", err)
+	}
+	if _, _, _, err := buffer.Read(5, 100); !errors.Is(err, ErrOffset) {
+		t.Errorf("read beyond the end: %v", err)
+	}
+	if buffer.Expire(end.Add(KeepTime - 1)) {
+		t.Error("gone too early")
+	}
+	if !buffer.Expire(end.Add(KeepTime)) || buffer.Size() != 0 {
+		t.Error("kept too long")
+	}
+	if _, _, _, err := buffer.Read(0, 100); !errors.Is(err, ErrGone) {
+		t.Errorf("read of an expired answer: %v", err)
+	}
+}
+
+func BenchmarkAnswer(b *testing.B) {
+	token := []byte(" word")
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer := NewBuffer(id, 1, MaxSize)
+		for range 1000 {
+			// The limit is not reached.
+			_ = buffer.Append(token)
+		}
+		buffer.Finish(rtwire.Outcome_OUTCOME_DONE, rtwire.Reason_REASON_NONE, "", end)
+		if _, complete, err := assembled(framesOf(b, buffer, 0, 256<<10), 0); !complete {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/rtanswer/buffer.go
+++ b/internal/rtanswer/buffer.go
@@ -46,7 +46,7 @@
 	final   *rtwire.Final // nil until the end
 	ended   time.Time
 	gone    bool          // text was freed
-	changed chan struct{} // closed at the next change
+	changed chan struct{} // closed at the next change; nil while no reader waits for it
 }
 
 // NewBuffer returns an empty buffer for an answer of at most limit bytes.
@@ -56,7 +56,6 @@
 		attempt: attempt,
 		limit:   limit,
 		digest:  xxhash.New(),
-		changed: make(chan struct{}),
 	}
 }
 
@@ -127,6 +126,9 @@
 		frames = append(frames, b.finalFrame())
 		final = true
 	}
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
 	return frames, final, b.changed, nil
 }
 
@@ -208,6 +210,8 @@
 }
 
 func (b *Buffer) wake() {
-	close(b.changed)
-	b.changed = make(chan struct{})
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
 }
--- a/internal/rtledger/ledger.go
+++ b/internal/rtledger/ledger.go
@@ -311,10 +311,13 @@
 }
 
 // boundResults drops the oldest result bodies over the limit; their states
-// stay.
+// stay. Ids of forgotten records go with them.
 func (l *Ledger) boundResults() {
-	for l.size > l.limits.Results {
+	for len(l.results) > 0 {
 		oldest := l.records[l.results[0]]
+		if oldest != nil && l.size <= l.limits.Results {
+			return
+		}
 		l.results = l.results[1:]
 		if oldest == nil {
 			continue
--- /dev/null
+++ b/internal/rtledger/ledger_test.go
@@ -0,0 +1,164 @@
+package rtledger
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+var start = time.UnixMilli(1)
+
+func entry(id rtid.Request, body string) Entry {
+	return Entry{ID: id, Organisation: "court", Body: DigestOf([]byte(body))}
+}
+
+// Guards against an id that runs for two bodies or organisations, and against
+// a second run by a repeated offer in any state.
+func TestBegin(t *testing.T) {
+	other := entry("a", "body")
+	other.Organisation = "other"
+	cancel := func(l *Ledger) { l.Cancel(Entry{ID: "a", Organisation: "court"}, start) }
+	begin := func(l *Ledger) { l.Begin(entry("a", "body"), start) }
+	run := func(l *Ledger) { begin(l); l.Start("a") }
+	tests := []struct {
+		name    string
+		before  func(*Ledger)
+		offered Entry
+		verdict Verdict
+		state   State
+	}{
+		{"new", func(*Ledger) {}, entry("a", "body"), Fresh, StateAccepted},
+		{"repeated", begin, entry("a", "body"), Known, StateAccepted},
+		{"other body", begin, entry("a", "changed"), Conflict, StateNone},
+		{"other organisation", begin, other, Conflict, StateNone},
+		{"running", run, entry("a", "body"), Known, StateRunning},
+		{"done", func(l *Ledger) { run(l); l.Finish("a", Result{State: StateDone}) }, entry("a", "body"), Known, StateDone},
+		{"cancelled before the offer", cancel, entry("a", "body"), Known, StateNotRun},
+		{"cancelled after the offer", func(l *Ledger) { begin(l); cancel(l) }, entry("a", "body"), Known, StateNotRun},
+		{"cancelled while running", func(l *Ledger) { run(l); cancel(l) }, entry("a", "body"), Known, StateRunning},
+		{"future epoch", func(*Ledger) {}, Entry{ID: "a", Epoch: 1}, Forgotten, StateNone},
+		{"old epoch", func(l *Ledger) { l.Epoch(start.Add(25 * time.Hour)) }, entry("a", "body"), Forgotten, StateNone},
+	}
+	for _, test := range tests {
+		ledger := New(DefaultLimits, start)
+		test.before(ledger)
+		record, verdict := ledger.Begin(test.offered, start)
+		if verdict != test.verdict || record.State != test.state {
+			t.Errorf("%s: got %v, %v, want %v, %v", test.name, verdict, record.State, test.verdict, test.state)
+		}
+	}
+}
+
+// Guards against results that change after they were reported. Only unknown
+// may become known.
+func TestFinish(t *testing.T) {
+	tests := []struct {
+		first, second State
+		taken         bool
+	}{
+		{StateDone, StateFailed, false},
+		{StateNotRun, StateDone, false},
+		{StateFailed, StateDone, false},
+		{StateUnknown, StateDone, true},
+		{StateUnknown, StateRunning, false},
+	}
+	for _, test := range tests {
+		ledger := New(DefaultLimits, start)
+		ledger.Begin(entry("a", ""), start)
+		ledger.Start("a")
+		ledger.Finish("a", Result{State: test.first, Reason: rtwire.Reason_REASON_TARGET})
+		if taken := ledger.Finish("a", Result{State: test.second}); taken != test.taken {
+			t.Errorf("%v then %v: taken %v, want %v", test.first, test.second, taken, test.taken)
+		}
+		if ledger.Start("a") {
+			t.Errorf("%v then %v: may start again", test.first, test.second)
+		}
+	}
+}
+
+// Guards against results that grow without bound, and against a state that is
+// lost with its result.
+func TestResultsAreBounded(t *testing.T) {
+	ledger := New(Limits{Records: 100, Epochs: 10, Result: 10, Results: 25}, start)
+	for i, size := range []int{10, 10, 11, 10} {
+		id := rtid.Request(fmt.Sprint(i))
+		ledger.Begin(entry(id, ""), start)
+		ledger.Start(id)
+		ledger.Finish(id, Result{State: StateDone, Body: bytes.Repeat([]byte("x"), size)})
+	}
+	for i, want := range []int{0, 10, 0, 10} {
+		record, _ := ledger.Lookup(rtid.Request(fmt.Sprint(i)))
+		if record.State != StateDone || len(record.Body) != want {
+			t.Errorf("result %d: %v with %d bytes, want done with %d", i, record.State, len(record.Body), want)
+		}
+	}
+}
+
+// Guards against an id that starts twice, whatever is forgotten meanwhile, and
+// against more records than the limit.
+func TestNothingStartsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Records: rapid.IntRange(4, 12).Draw(t, "records"), Epochs: 3, Result: 10, Results: 30}
+		ledger := New(limits, start)
+		now := start
+		started := map[rtid.Request]bool{}
+		epochs := map[rtid.Request]rtid.Epoch{}
+		var running []rtid.Request
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := rtid.Request(fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id")))
+			if _, named := epochs[id]; !named {
+				epochs[id] = ledger.Epoch(now)
+			}
+			offered := Entry{ID: id, Epoch: epochs[id], Organisation: "court"}
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(0, 15).Draw(t, "minutes")) * time.Minute)
+			case 1:
+				ledger.Cancel(offered, now)
+			case 2:
+				if len(running) > 0 {
+					ledger.Finish(running[0], Result{State: StateDone, Body: []byte("result")})
+					running = running[1:]
+				}
+			default:
+				if _, verdict := ledger.Begin(offered, now); verdict == Fresh && ledger.Start(id) {
+					if started[id] {
+						t.Fatalf("%s starts twice", id)
+					}
+					started[id] = true
+					running = append(running, id)
+				}
+			}
+			if ledger.Len() > limits.Records || ledger.size > limits.Results {
+				t.Fatalf("%d records, %d bytes of results", ledger.Len(), ledger.size)
+			}
+		}
+		for _, id := range running {
+			if record, _ := ledger.Lookup(id); record.State != StateRunning {
+				t.Fatalf("%s runs, but the ledger says %v", id, record.State)
+			}
+		}
+	})
+}
+
+func BenchmarkBeginToFinish(b *testing.B) {
+	ids := make([]rtid.Request, b.N)
+	for i := range ids {
+		ids[i] = rtid.Request(fmt.Sprint("o.filings-1.19af2.1.deadbeef.", i))
+	}
+	digest := DigestOf([]byte("body"))
+	ledger := New(DefaultLimits, start)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for _, id := range ids {
+		ledger.Begin(Entry{ID: id, Epoch: ledger.Epoch(start), Organisation: "court", Body: digest}, start)
+		ledger.Start(id)
+		ledger.Finish(id, Result{State: StateDone})
+	}
+}
--- /dev/null
+++ b/internal/rtmemory/account_test.go
@@ -0,0 +1,98 @@
+package rtmemory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+var start = time.UnixMilli(1)
+
+// Guards against memory that is given out twice, and against a renewal that
+// takes more than there is.
+func TestReserve(t *testing.T) {
+	tests := []struct {
+		name   string
+		id     rtid.Request
+		tokens rtid.Tokens
+		ok     bool
+		used   rtid.Tokens
+	}{
+		{"first", "a", 60, true, 60},
+		{"too much", "b", 41, false, 60},
+		{"rest", "b", 40, true, 100},
+		{"grow without room", "a", 61, false, 100},
+		{"shrink", "a", 50, true, 90},
+		{"grow into room", "b", 50, true, 100},
+		{"negative", "c", -1, false, 100},
+	}
+	account := New(100)
+	for _, test := range tests {
+		ok := account.Reserve(test.id, test.tokens, start)
+		if ok != test.ok || account.Used() != test.used {
+			t.Errorf("%s: %v with %d used, want %v with %d", test.name, ok, account.Used(), test.ok, test.used)
+		}
+	}
+}
+
+// Guards against a part of a group that stays held after its leader stopped
+// renewing, and against one that ends although it was renewed.
+func TestLease(t *testing.T) {
+	account := New(100)
+	account.Lease("group", 60, 2*time.Second, start)
+	account.Reserve("request", 10, start.Add(time.Second))
+	account.Lease("group", 60, 2*time.Second, start.Add(time.Second))
+	if gone := account.Expire(start.Add(2 * time.Second)); len(gone) != 0 || account.Used() != 60 {
+		t.Errorf("after 2 s: %v ended, %d used, want the renewed group only", gone, account.Used())
+	}
+	gone := account.Expire(start.Add(3 * time.Second))
+	if len(gone) != 1 || gone[0] != "group" || account.Used() != 0 {
+		t.Errorf("after 3 s: %v ended, %d used", gone, account.Used())
+	}
+}
+
+// Guards against a total that drifts from the sum of the reservations.
+func TestAccountAddsUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		account := New(100)
+		now := start
+		for range 50 {
+			id := rtid.Request(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "id")))
+			tokens := rtid.Tokens(rapid.IntRange(0, 60).Draw(t, "tokens"))
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				account.Reserve(id, tokens, now.Add(time.Second))
+			case 1:
+				account.Lease(id, tokens, time.Second, now)
+			case 2:
+				account.Release(id)
+			default:
+				account.Expire(now)
+			}
+			sum := rtid.Tokens(0)
+			for _, held := range account.reservations {
+				sum += held.tokens
+			}
+			if sum != account.Used() || sum > account.Total() {
+				t.Fatalf("%d used, sum is %d", account.Used(), sum)
+			}
+		}
+	})
+}
+
+func BenchmarkReserveRelease(b *testing.B) {
+	account := New(1 << 40)
+	for i := range 1000 {
+		account.Reserve(rtid.Request(fmt.Sprint(i)), 1, start)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		account.Reserve("a", 1000, start)
+		account.Release("a")
+	}
+}
--- a/internal/rtqueue/queue.go
+++ b/internal/rtqueue/queue.go
@@ -11,7 +11,6 @@
 import (
 	"container/heap"
 	"container/list"
-	"math"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -52,16 +51,20 @@
 	Deadline     time.Time
 }
 
-// flow is the waiting requests of one organisation in one class, oldest first.
-type flow struct {
+type flowKey struct {
 	organisation rtid.Organisation
 	class        rtid.Class
-	items        list.List // of *entry
 }
 
-type flowKey struct {
-	organisation rtid.Organisation
-	class        rtid.Class
+// flow is the waiting requests of one organisation in one class, oldest
+// first. It is never empty.
+type flow struct {
+	key   flowKey
+	items list.List // of *entry
+}
+
+func (f *flow) head() *entry {
+	return f.items.Front().Value.(*entry)
 }
 
 type entry struct {
@@ -76,13 +79,14 @@
 type Queue struct {
 	limits    Limits
 	entries   map[rtid.Request]*entry // all that waits and runs
-	flows     map[flowKey]*flow       // without empty ones
-	deadlines deadlines               // of what waits
+	flows     map[flowKey]*flow
+	deadlines deadlines // of what waits
 	finish    map[rtid.Organisation]float64
 	virtual   float64 // fair-share clock: weighted tokens served
 	waiting   totals
 	running   totals
 	classes   [len(headStart)]int // running requests by class
+	shorts    int                 // waiting short requests
 	long      rtid.Tokens         // prefill tokens of running long prompts
 	prefill   rtid.Tokens         // prefill tokens of all running prompts
 	share     share
@@ -135,14 +139,14 @@
 	key := flowKey{item.Organisation, item.Class}
 	target := q.flows[key]
 	if target == nil {
-		target = &flow{organisation: item.Organisation, class: item.Class}
+		target = &flow{key: key}
 		q.flows[key] = target
 	}
 	added := &entry{Item: item, flow: target}
 	added.element = target.items.PushBack(added)
 	q.entries[item.ID] = added
 	heap.Push(&q.deadlines, added)
-	q.waiting.add(&item, 1)
+	q.count(&item, 1)
 	q.observe(item.Arrived)
 	return true
 }
@@ -263,11 +267,11 @@
 func (q *Queue) unlink(e *entry) {
 	e.flow.items.Remove(e.element)
 	if e.flow.items.Len() == 0 {
-		delete(q.flows, flowKey{e.flow.organisation, e.flow.class})
+		delete(q.flows, e.flow.key)
 	}
 	e.flow = nil
 	heap.Remove(&q.deadlines, e.index)
-	q.waiting.add(&e.Item, -1)
+	q.count(&e.Item, -1)
 	if q.waiting.count == 0 {
 		// Nobody waits, so nobody is owed anything.
 		clear(q.finish)
@@ -275,14 +279,16 @@
 	}
 }
 
-func (q *Queue) observe(now time.Time) {
-	shorts := q.classes[rtid.ClassShort]
-	for key, waiting := range q.flows {
-		if key.class == rtid.ClassShort {
-			shorts += waiting.items.Len()
-		}
+// count adds to the totals of what waits.
+func (q *Queue) count(item *Item, sign int) {
+	q.waiting.add(item, sign)
+	if item.Class == rtid.ClassShort {
+		q.shorts += sign
 	}
-	q.share.observe(shorts, now)
+}
+
+func (q *Queue) observe(now time.Time) {
+	q.share.observe(q.shorts+q.classes[rtid.ClassShort], now)
 }
 
 // choose returns the request to start, or nil if none may.
@@ -291,18 +297,17 @@
 	if oldest != nil || blocked {
 		return oldest
 	}
+	due := q.classDue()
 	var best *entry
-	var bestDue time.Time
-	bestFinish := math.Inf(1)
+	var bestFinish float64
 	for key, waiting := range q.flows {
-		head := waiting.items.Front().Value.(*entry)
+		head := waiting.head()
 		if !q.fits(head, slots, free) {
 			continue
 		}
-		due := q.classDue(key.class)
 		finish := max(q.virtual, q.finish[key.organisation])
-		if best == nil || q.before(due, finish, head, bestDue, bestFinish, best) {
-			best, bestDue, bestFinish = head, due, finish
+		if best == nil || before(head, best, &due, finish, bestFinish) {
+			best, bestFinish = head, finish
 		}
 	}
 	return best
@@ -311,10 +316,11 @@
 // before orders candidates: class by its oldest request and head start, then
 // organisation by fair share, then arrival and id, so that the order does not
 // depend on the order of a map.
-func (q *Queue) before(due time.Time, finish float64, e *entry, otherDue time.Time, otherFinish float64, other *entry) bool {
+func before(e, other *entry, due *[len(headStart)]time.Time, finish, otherFinish float64) bool {
+	mine, others := due[e.Class], due[other.Class]
 	switch {
-	case !due.Equal(otherDue):
-		return due.Before(otherDue)
+	case !mine.Equal(others):
+		return mine.Before(others)
 	case e.Class != other.Class:
 		return e.Class < other.Class
 	case finish != otherFinish:
@@ -331,26 +337,23 @@
 	return e.ID < other.ID
 }
 
-// classDue returns when the oldest request of a class counts as arrived.
-func (q *Queue) classDue(class rtid.Class) time.Time {
-	var first time.Time
+// classDue returns when the oldest request of each class counts as arrived.
+func (q *Queue) classDue() [len(headStart)]time.Time {
+	var due [len(headStart)]time.Time
 	for key, waiting := range q.flows {
-		if key.class != class {
-			continue
-		}
-		arrived := waiting.items.Front().Value.(*entry).Arrived
-		if first.IsZero() || arrived.Before(first) {
-			first = arrived
+		arrived := waiting.head().Arrived.Add(headStart[key.class])
+		if due[key.class].IsZero() || arrived.Before(due[key.class]) {
+			due[key.class] = arrived
 		}
 	}
-	return first.Add(headStart[class])
+	return due
 }
 
 // aged returns the oldest request that has waited for AgeLimit and may start,
 // and whether it lacks memory, so that nothing else may start before it.
 func (q *Queue) aged(now time.Time, free rtid.Tokens) (next *entry, blocked bool) {
 	for _, waiting := range q.flows {
-		head := waiting.items.Front().Value.(*entry)
+		head := waiting.head()
 		if now.Sub(head.Arrived) < AgeLimit || !q.longFits(head) {
 			continue
 		}
--- /dev/null
+++ b/internal/rtqueue/queue_test.go
@@ -0,0 +1,199 @@
+package rtqueue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+const plenty rtid.Tokens = 1 << 40
+
+var (
+	start  = time.UnixMilli(1)
+	limits = Limits{Waiting: 1 << 20, Bytes: 1 << 30, LongPrefill: 200_000}
+)
+
+func item(id string, organisation rtid.Organisation, tokens rtid.Tokens, arrived time.Duration) Item {
+	return Item{
+		ID:           rtid.Request(id),
+		Organisation: organisation,
+		Weight:       1,
+		Class:        rtid.ClassOf(tokens),
+		Tokens:       tokens,
+		Memory:       tokens,
+		Arrived:      start.Add(arrived),
+		Deadline:     start.Add(arrived + time.Hour),
+	}
+}
+
+// popAll pops at one moment until nothing may start.
+func popAll(q *Queue, now time.Time, slots int, free rtid.Tokens) string {
+	var order string
+	for {
+		next, ok, _ := q.Pop(now, slots, free)
+		if !ok {
+			return order
+		}
+		free -= next.Memory
+		order += string(next.ID)
+	}
+}
+
+// Guards against short requests behind long ones, long ones that take the
+// kept slots or the kept memory, and aged ones that are overtaken.
+func TestPopOrder(t *testing.T) {
+	const second = time.Second
+	tests := []struct {
+		name  string
+		items []Item
+		at    time.Duration
+		slots int
+		free  rtid.Tokens
+		want  string
+	}{
+		{"short first", []Item{item("l", "o", 100_000, 0), item("m", "o", 10_000, 0), item("s", "o", 10, second)}, second, 8, plenty, "sml"},
+		{"head start ends", []Item{item("m", "o", 10_000, 0), item("s", "o", 10, 3*second)}, 3 * second, 8, plenty, "ms"},
+		{"aged first", []Item{item("l", "o", 100_000, 0), item("s", "o", 10, 15*second)}, AgeLimit, 8, plenty, "ls"},
+		{"kept slot", []Item{item("k", "o", 90_000, 0), item("l", "o", 90_000, 0), item("m", "o", 10_000, 0)}, 0, 2, plenty, "m"},
+		{"one slot is not kept", []Item{item("l", "o", 90_000, 0)}, 0, 1, plenty, "l"},
+		{"long prefill is bounded", []Item{item("k", "o", 150_000, 0), item("l", "o", 150_000, 0)}, 0, 8, plenty, "k"},
+		{"largest prompt runs alone", []Item{item("k", "o", 400_000, 0)}, 0, 8, 400_000, "k"},
+		{"kept memory", []Item{item("m", "o", 10_000, 0), item("n", "o", 10_000, 0), item("s", "o", 4000, 0)}, 0, 8, 24_000, "sm"},
+		{"aged waits for memory", []Item{item("m", "o", 60_000, 0), item("s", "o", 10, second)}, AgeLimit, 8, 50_000, ""},
+		{"fair share", []Item{item("a", "x", 1000, 0), item("b", "x", 1000, 1), item("c", "x", 1000, 2), item("d", "y", 1000, 3)}, 4, 8, plenty, "adbc"},
+	}
+	for _, test := range tests {
+		q := New(limits)
+		for _, added := range test.items {
+			if !q.Push(added) {
+				t.Fatalf("%s: push refused", test.name)
+			}
+		}
+		if got := popAll(q, start.Add(test.at), test.slots, test.free); got != test.want {
+			t.Errorf("%s: started %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+// Guards against work that starts after its deadline, and against counters
+// that keep what was taken out.
+func TestExpired(t *testing.T) {
+	q := New(Limits{Waiting: 3, Bytes: 100})
+	early := item("early", "o", 10, 0)
+	early.Deadline = start.Add(time.Second)
+	late := item("late", "o", 10, 0)
+	late.Size = 60
+	for _, added := range []Item{late, early} {
+		if !q.Push(added) {
+			t.Fatal("push refused")
+		}
+	}
+	large := item("large", "o", 10, 0)
+	large.Size = 41
+	if q.Push(large) || q.Push(late) {
+		t.Error("a body over the limit or a second copy was taken")
+	}
+	next, ok, refused := q.Pop(early.Deadline, 8, plenty)
+	if !ok || next.ID != "late" || len(refused) != 1 || refused[0].ID != "early" {
+		t.Errorf("got %v, refused %v", next.ID, refused)
+	}
+	if q.Remove("late") {
+		t.Error("a running request was taken out of the queue")
+	}
+	q.Done("late", start)
+	if q.Waiting() != 0 || q.Running() != 0 || q.Prefill() != 0 || q.WaitingTokens() != 0 || len(q.entries) != 0 {
+		t.Errorf("the empty queue has waiting %d, running %d, prefill %d", q.Waiting(), q.Running(), q.Prefill())
+	}
+}
+
+// Guards against an organisation that gets more than its planned share while
+// others wait.
+func TestFairShare(t *testing.T) {
+	q := New(limits)
+	shares := map[rtid.Organisation]float64{"large": 0.6, "small": 0.2, "tiny": 0.2}
+	for organisation, share := range shares {
+		for i := range 400 {
+			added := item(fmt.Sprint(organisation, i), organisation, rtid.Tokens(500+i%7*100), 0)
+			added.Weight = share
+			q.Push(added)
+		}
+	}
+	got := map[rtid.Organisation]rtid.Tokens{}
+	var sum rtid.Tokens
+	for range 400 {
+		next, ok, _ := q.Pop(start, 1, plenty)
+		if !ok {
+			t.Fatal("nothing starts")
+		}
+		got[next.Organisation] += next.Tokens
+		sum += next.Tokens
+		q.Done(next.ID, start)
+	}
+	for organisation, share := range shares {
+		if part := float64(got[organisation]) / float64(sum); part < share-0.02 || part > share+0.02 {
+			t.Errorf("%s got %.3f of the tokens, want %.3f", organisation, part, share)
+		}
+	}
+}
+
+// Guards against a long prompt that never starts beside endless shorter ones:
+// the bound stated for the package.
+func TestLongPromptStarts(t *testing.T) {
+	const service = 500 * time.Millisecond // of a short request
+	q := New(limits)
+	q.Push(item("long", "o", 300_000, 0))
+	free := rtid.Tokens(310_000)
+	type run struct {
+		Item
+		end time.Duration
+	}
+	var running []run
+	for now := time.Duration(0); now <= AgeLimit+service; now += 10 * time.Millisecond {
+		kept := running[:0]
+		for _, r := range running {
+			if r.end > now {
+				kept = append(kept, r)
+				continue
+			}
+			q.Done(r.ID, start.Add(now))
+			free += r.Memory
+		}
+		running = kept
+		q.Push(item(fmt.Sprint("s", now), "o", 4000, now))
+		for {
+			next, ok, _ := q.Pop(start.Add(now), 8, free)
+			if !ok {
+				break
+			}
+			if next.ID == "long" {
+				return
+			}
+			free -= next.Memory
+			running = append(running, run{next, now + service})
+		}
+	}
+	t.Errorf("the long prompt did not start within %v", AgeLimit+service)
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, waiting := range []int{20, 100, 1000, 10_000} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			q := New(limits)
+			for i := range waiting {
+				organisation := rtid.Organisation(fmt.Sprint("o", i%220))
+				q.Push(item(fmt.Sprint(i), organisation, rtid.Tokens(100*(1+i%1000)), 0))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				next, ok, _ := q.Pop(start, 8, plenty)
+				if !ok {
+					b.Fatal("nothing starts")
+				}
+				q.Done(next.ID, start)
+				q.Push(next)
+			}
+		})
+	}
+}
