Raise the warm-up limit by rounds of work, notice cold targets while they answer

Cause: a limit that doubled after one completion outran a cold target that warms up after several. Change: rounds of at least 8 completions; time between tokens counts beside time to first token; answers that were read do not hold up a stop; remaining time counts from the arrival of a message.

--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -31,6 +31,7 @@
 const (
 	maxWaiting            = 1024
 	maxBodies  rtid.Bytes = 256 << 20 // waiting bodies together
+	maxAnswers rtid.Bytes = 256 << 20 // answers together, checked when a request is offered
 )
 
 // Node is the part of rtnode.Node that the agent uses. Its methods must not
@@ -86,8 +87,10 @@
 	tasks     []*rttask.Task            // one a running request, owned by the dispatcher
 	ready     bool
 	leaving   bool
-	down      bool  // the target does not answer
-	start     int64 // of the target, 0 before its first report
+	down      bool       // the target does not answer
+	start     int64      // of the target, 0 before its first report
+	broken    time.Time  // last failure of the target
+	kept      rtid.Bytes // of all answers at the last tick
 }
 
 // New returns an agent that has not started.
--- a/internal/rtagent/answers.go
+++ b/internal/rtagent/answers.go
@@ -21,9 +21,9 @@
 	writeTimeout = 30 * time.Second
 )
 
-// find answers with an error unless the buffer of the request is known and
-// belongs to the organisation.
-func (a *Agent) findAnswer(w http.ResponseWriter, r *http.Request, params httprouter.Params) *rtanswer.Buffer {
+// findAnswer answers with an error unless the request is known and belongs to
+// the organisation.
+func (a *Agent) findAnswer(w http.ResponseWriter, r *http.Request, params httprouter.Params) *request {
 	id := rtid.Request(params.ByName("request"))
 	home, err := rtid.ParseRequest(id)
 	if err != nil {
@@ -41,7 +41,7 @@
 		http.Error(w, "no answer is kept for this request", http.StatusNotFound)
 		return nil
 	}
-	return found.buffer
+	return found
 }
 
 // readAnswer streams an answer as frames from an offset on, until its end.
@@ -55,34 +55,56 @@
 		}
 		offset = parsed
 	}
-	buffer := a.findAnswer(w, r, params)
-	if buffer == nil {
+	found := a.findAnswer(w, r, params)
+	if found == nil {
 		return
 	}
-	frames, final, changed, err := buffer.Read(offset, readBatch)
-	if err != nil {
-		http.Error(w, err.Error(), statusOf(err))
+	batch := readBatchOf(found.buffer, offset)
+	if batch.err != nil {
+		http.Error(w, batch.err.Error(), statusOf(batch.err))
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	for {
-		if !writeFrames(w, frames) || final {
+	// The reader of a stream that stops early sees no final frame.
+	for batch.err == nil && writeFrames(w, batch.frames) {
+		if batch.final {
+			a.markRead(found)
 			return
 		}
-		if len(frames) == 0 {
+		if len(batch.frames) == 0 {
 			select {
-			case <-changed:
+			case <-batch.changed:
 			case <-r.Context().Done():
 				return
 			}
 		}
-		offset = after(offset, frames)
-		frames, final, changed, err = buffer.Read(offset, readBatch)
-		if err != nil {
-			// The reader sees a stream without a final frame.
-			return
-		}
+		batch = readBatchOf(found.buffer, batch.end)
+	}
+}
+
+// batch is what a buffer gives at one moment.
+type batch struct {
+	frames  []*rtwire.Frame
+	final   bool // the last frame is the final one
+	changed <-chan struct{}
+	end     int64 // offset behind the frames
+	err     error
+}
+
+func readBatchOf(buffer *rtanswer.Buffer, offset int64) batch {
+	read := batch{end: offset}
+	read.frames, read.final, read.changed, read.err = buffer.Read(offset, readBatch)
+	for _, frame := range read.frames {
+		read.end = max(read.end, frame.Offset+int64(len(frame.Text)))
 	}
+	return read
+}
+
+// markRead takes in that a reader got the whole answer.
+func (a *Agent) markRead(r *request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r.read = true
 }
 
 func statusOf(err error) int {
@@ -105,21 +127,13 @@
 	return control.Flush() == nil
 }
 
-// after returns the offset behind the frames.
-func after(offset int64, frames []*rtwire.Frame) int64 {
-	for _, frame := range frames {
-		offset = max(offset, frame.Offset+int64(len(frame.Text)))
-	}
-	return offset
-}
-
 // acknowledgeAnswer frees an answer that its reader has in full.
 func (a *Agent) acknowledgeAnswer(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	buffer := a.findAnswer(w, r, params)
-	if buffer == nil {
+	found := a.findAnswer(w, r, params)
+	if found == nil {
 		return
 	}
-	if !buffer.Acknowledge() {
+	if !found.buffer.Acknowledge() {
 		http.Error(w, "the answer has not ended", http.StatusConflict)
 		return
 	}
--- a/internal/rtagent/calls.go
+++ b/internal/rtagent/calls.go
@@ -15,10 +15,10 @@
 }
 
 // Offer decides about a request and answers with the status of this process.
-func (c calls) Offer(_ context.Context, message *rtwire.OfferRequest) (*rtwire.OfferReply, error) {
+func (c calls) Offer(ctx context.Context, message *rtwire.OfferRequest) (*rtwire.OfferReply, error) {
 	a := c.agent
 	a.node.Observe(message.Sender)
-	reply := a.decide(message)
+	reply := a.decide(message, arrivalOf(ctx))
 	reply.Status = a.node.Status()
 	a.metrics.Tagged(map[string]string{
 		"outcome": reply.Outcome.String(),
@@ -43,6 +43,9 @@
 	if !ok {
 		return &rtwire.QueryReply{Outcome: rtwire.Outcome_OUTCOME_UNKNOWN, Detail: "no offer with this id has arrived"}, nil
 	}
+	if r := a.requests[id]; r != nil && r.settled && r.kind == rtwire.Kind_KIND_ORDER {
+		r.read = true
+	}
 	return describe(record, organisation), nil
 }
 
--- a/internal/rtagent/dispatch.go
+++ b/internal/rtagent/dispatch.go
@@ -31,6 +31,7 @@
 	defer a.mu.Unlock()
 	a.noticePause(now)
 	a.expireAnswers(now)
+	a.memory.Expire(now)
 	for a.startNext(ctx, now) {
 		continue
 	}
@@ -39,10 +40,13 @@
 
 // expireAnswers forgets answers that were acknowledged or kept long enough.
 func (a *Agent) expireAnswers(now time.Time) {
+	a.kept = 0
 	for id, r := range a.requests {
 		if r.settled && r.cancel == nil && r.buffer.Expire(now) {
 			delete(a.requests, id)
+			continue
 		}
+		a.kept += r.buffer.Size()
 	}
 }
 
@@ -78,7 +82,8 @@
 // launch runs a request that left the queue. The caller holds a.mu.
 func (a *Agent) launch(ctx context.Context, r *request, now time.Time) {
 	id := r.item.ID
-	a.memory.Reserve(id, r.item.Memory, r.item.Deadline)
+	// The engine frees the memory of an expired request within cleanupTimeout.
+	a.memory.Reserve(id, r.item.Memory, r.item.Deadline.Add(cleanupTimeout))
 	if !a.ledger.Start(id) {
 		a.finishRun(r, rtledger.Result{State: rtledger.StateNotRun, Reason: rtwire.Reason_REASON_CANCELLED})
 		return
@@ -103,7 +108,15 @@
 	}))
 }
 
+// run executes a request at the target, unless its dispatch was delayed.
 func (a *Agent) run(ctx context.Context, r *request) rtledger.Result {
+	now := time.Now()
+	if now.Sub(r.popped) > pauseLimit {
+		return notRun(rtwire.Reason_REASON_PAUSED, "the agent was paused before dispatch")
+	}
+	if !now.Before(r.item.Deadline) {
+		return notRun(rtwire.Reason_REASON_DEADLINE, "the time limit passed before dispatch")
+	}
 	if r.kind == rtwire.Kind_KIND_ORDER {
 		return a.runOrder(ctx, r)
 	}
--- a/internal/rtagent/draft.go
+++ b/internal/rtagent/draft.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtledger"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwarm"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 )
 
@@ -23,12 +24,18 @@
 	errStopped   = errors.New("the agent has reached its drain limit")
 )
 
+// paceWindow is the tokens of a running answer that are measured together, so
+// that a target that turns cold is noticed before its answers end.
+const paceWindow rtid.Tokens = 32
+
 // progress is the measured course of one generation.
 type progress struct {
 	sent   time.Time
 	first  time.Time // zero before the first token
 	last   time.Time
-	tokens rtid.Tokens
+	tokens rtid.Tokens // after those of the first chunk
+	marked time.Time   // start of the current window
+	window rtid.Tokens // tokens in it
 }
 
 // runDraft generates an answer at the engine.
@@ -63,8 +70,7 @@
 func (a *Agent) notGenerated(ctx context.Context, r *request, trace *reach, err error) rtledger.Result {
 	var status *rttarget.StatusError
 	if errors.As(err, &status) {
-		a.refusedByTarget(status)
-		return notRun(rtwire.Reason_REASON_TARGET, err.Error())
+		return notRun(a.refusedByTarget(status), err.Error())
 	}
 	if ctx.Err() == nil {
 		a.targetFailed(err)
@@ -108,15 +114,24 @@
 // advance takes in a chunk with tokens of text.
 func (a *Agent) advance(r *request, course *progress, tokens rtid.Tokens) {
 	now := time.Now()
+	course.last = now
 	if course.first.IsZero() {
-		course.first = now
+		course.first, course.marked = now, now
 		a.mu.Lock()
 		a.queue.Prefilled(r.item.ID)
 		a.mu.Unlock()
 		a.signal()
+		return
 	}
-	course.last = now
 	course.tokens += tokens
+	course.window += tokens
+	if course.window < paceWindow {
+		return
+	}
+	a.mu.Lock()
+	a.moveWarm(func() { a.warm.Observe(a.pace.tokenRatio(course.window, now.Sub(course.marked))) })
+	a.mu.Unlock()
+	course.window, course.marked = 0, now
 }
 
 // measure lets a completed generation move the warm-up limit and the pace.
@@ -125,20 +140,22 @@
 		return
 	}
 	toFirst := course.first.Sub(course.sent)
+	answering := course.last.Sub(course.first)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	ratio := rtwarm.Ratio(toFirst, a.pace.expected(r.ahead))
+	tokenRatio := a.pace.tokenRatio(course.tokens, answering)
+	a.moveWarm(func() { a.warm.Complete(max(ratio, tokenRatio)) })
 	a.pace.prefilled(r.ahead, toFirst)
-	a.pace.answered(course.tokens, course.last.Sub(course.first))
+	a.pace.answered(course.tokens, answering, tokenRatio >= rtwarm.SlowRatio)
 	a.pace.served(r.item.Class, course.last.Sub(course.sent))
-	a.completeWarm(toFirst, a.pace.expected(r.ahead))
 	a.metrics.Timer("first_token").Record(course.first.Sub(r.item.Arrived))
 }
 
-// completeWarm takes a completion into the warm-up limit. The caller holds
-// a.mu.
-func (a *Agent) completeWarm(measured, expected time.Duration) {
+// moveWarm reports a change of the warm-up limit. The caller holds a.mu.
+func (a *Agent) moveWarm(move func()) {
 	before := a.warm.Now()
-	a.warm.Complete(measured, expected)
+	move()
 	if after := a.warm.Now(); after != before {
 		a.log.Info("warm-up limit changed", "before", before, "after", after)
 		a.metrics.Gauge("warm_limit").Update(float64(after))
--- a/internal/rtagent/offer.go
+++ b/internal/rtagent/offer.go
@@ -21,7 +21,8 @@
 	home    rtid.Home
 	item    rtqueue.Item
 	digest  rtledger.Digest
-	now     time.Time
+	arrived time.Time // when the message began to arrive
+	now     time.Time // when it was read
 }
 
 // view is what the stages need beside the request, read without Agent.mu.
@@ -76,8 +77,8 @@
 }
 
 // decide takes an offer through all stages.
-func (a *Agent) decide(message *rtwire.OfferRequest) *rtwire.OfferReply {
-	o := &offer{message: message, now: time.Now()}
+func (a *Agent) decide(message *rtwire.OfferRequest, arrived time.Time) *rtwire.OfferReply {
+	o := &offer{message: message, arrived: arrived, now: time.Now()}
 	seen := a.view(message)
 	for _, check := range identityStages {
 		if refused := check(a, o, seen); refused != nil {
--- a/internal/rtagent/order.go
+++ b/internal/rtagent/order.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtanswer"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtledger"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwarm"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 )
 
@@ -22,9 +23,6 @@
 	expiry := time.AfterFunc(time.Until(r.item.Deadline), func() { a.expireOrder(r) })
 	defer expiry.Stop()
 	sent := time.Now()
-	if refused := a.lateDispatch(r, sent); refused != nil {
-		return *refused
-	}
 	trace := &reach{}
 	reply, err := a.service.Run(trace.watch(ctx), rttarget.RunRequest{
 		ID:    r.item.ID,
@@ -41,21 +39,6 @@
 	return rtledger.Result{State: rtledger.StateDone, Body: reply.Result}
 }
 
-// lateDispatch refuses an order whose dispatch was delayed, just before its
-// call is written.
-func (a *Agent) lateDispatch(r *request, now time.Time) *rtledger.Result {
-	var result rtledger.Result
-	switch {
-	case now.Sub(r.popped) > pauseLimit:
-		result = notRun(rtwire.Reason_REASON_PAUSED, "the agent was paused before dispatch")
-	case !now.Before(r.item.Deadline):
-		result = notRun(rtwire.Reason_REASON_DEADLINE, "the time limit passed before dispatch")
-	default:
-		return nil
-	}
-	return &result
-}
-
 // expireOrder answers an order whose time limit passes while it runs. The
 // ledger takes the true result when the service answers later.
 func (a *Agent) expireOrder(r *request) {
@@ -73,8 +56,7 @@
 func (a *Agent) notExecuted(ctx context.Context, trace *reach, err error) rtledger.Result {
 	var status *rttarget.StatusError
 	if errors.As(err, &status) {
-		a.refusedByTarget(status)
-		return notRun(rtwire.Reason_REASON_TARGET, err.Error())
+		return notRun(a.refusedByTarget(status), err.Error())
 	}
 	if ctx.Err() == nil {
 		a.targetFailed(err)
@@ -93,5 +75,5 @@
 		expected = measured
 	}
 	a.pace.served(r.item.Class, measured)
-	a.completeWarm(measured, expected)
+	a.moveWarm(func() { a.warm.Complete(rtwarm.Ratio(measured, expected)) })
 }
--- a/internal/rtagent/pace.go
+++ b/internal/rtagent/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwarm"
 )
 
 const (
@@ -20,7 +21,8 @@
 type pace struct {
 	rate     float64                      // prefill tokens per second; 0 if not known
 	warm     float64                      // the same of a warm target
-	token    time.Duration                // mean time between tokens of an answer
+	token    time.Duration                // mean time between tokens of an answer; 0 if not known
+	usual    time.Duration                // the same of a warm target
 	duration map[rtid.Class]time.Duration // mean time at the target
 }
 
@@ -70,12 +72,25 @@
 	p.rate += paceWeight * (sample - p.rate)
 }
 
-// answered takes in the time between the first and the last token.
-func (p *pace) answered(tokens rtid.Tokens, measured time.Duration) {
-	if tokens < 2 {
+// answered takes in the time of tokens after the first one. A slow answer
+// does not change what is usual, so that a cold target stays noticeable.
+func (p *pace) answered(tokens rtid.Tokens, measured time.Duration, slow bool) {
+	if tokens <= 0 {
 		return
 	}
-	p.token = mean(p.token, measured/time.Duration(tokens-1))
+	sample := measured / time.Duration(tokens)
+	p.token = mean(p.token, sample)
+	if !slow {
+		p.usual = mean(p.usual, sample)
+	}
+}
+
+// tokenRatio compares the time of tokens after the first one with the usual.
+func (p *pace) tokenRatio(tokens rtid.Tokens, measured time.Duration) float64 {
+	if p.usual == 0 {
+		return 1
+	}
+	return rtwarm.Ratio(measured, time.Duration(tokens)*p.usual)
 }
 
 // served takes in the time of a request at the target.
--- a/internal/rtagent/reconcile.go
+++ b/internal/rtagent/reconcile.go
@@ -17,6 +17,9 @@
 	reconcilePeriod = 2 * time.Second
 	// prepareRetry is the wait between two tries to reach the target at start.
 	prepareRetry = 250 * time.Millisecond
+	// restartNotice is the longest time between a call that a restart of the
+	// target broke and the report of the restart, which lags.
+	restartNotice = reconcilePeriod + 2*time.Second
 	// callTimeout bounds control calls to the target.
 	callTimeout = time.Second
 )
@@ -164,7 +167,7 @@
 	changed := a.down != down
 	a.down = down
 	if down {
-		a.warm.Reset()
+		a.moveWarm(a.warm.Reset)
 		a.abandonWaiting(rtwire.Reason_REASON_TARGET, "the target does not answer")
 	}
 	serving := a.serving()
@@ -175,7 +178,8 @@
 	}
 }
 
-// noticeRestart fails what ran at an engine that has restarted since. A plain
+// noticeRestart fails what ran at an engine that has restarted since. What
+// started after the last broken call runs at the new start already. A plain
 // service is left alone: what became of its calls shows in their own answers.
 func (a *Agent) noticeRestart(start int64) {
 	a.mu.Lock()
@@ -185,12 +189,16 @@
 	}
 	a.log.Info("target has restarted", "before", a.start, "after", start)
 	a.start = start
-	a.warm.Reset()
+	before := a.broken
+	if now := time.Now(); now.Sub(before) > restartNotice {
+		before = now
+		a.moveWarm(a.warm.Reset)
+	}
 	if a.engine == nil {
 		return
 	}
 	for _, r := range a.requests {
-		if r.cancel == nil {
+		if r.cancel == nil || r.popped.After(before) {
 			continue
 		}
 		a.settle(r, rtledger.Result{
@@ -199,8 +207,8 @@
 			Detail: errRestarted.Error(),
 		})
 		r.cancel(errRestarted)
+		a.memory.Release(r.item.ID)
 	}
-	a.memory.Reset()
 }
 
 // unknownTwice returns the streams that were unknown in this and in the last
--- a/internal/rtagent/request.go
+++ b/internal/rtagent/request.go
@@ -28,6 +28,7 @@
 	popped  time.Time               // when it left the queue
 	ahead   rtid.Tokens             // prefill tokens that ran when it started, and that started since
 	settled bool
+	read    bool // a reader has got the whole answer, so a stop need not wait for it
 }
 
 // outcomes translates the states of the ledger.
--- a/internal/rtagent/run.go
+++ b/internal/rtagent/run.go
@@ -111,11 +111,17 @@
 	}
 }
 
-// idle reports whether nothing waits or runs and no answer is kept.
+// idle reports whether nothing waits or runs and all answers were read. Others
+// are kept until their expiry.
 func (a *Agent) idle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.requests) == 0
+	for _, r := range a.requests {
+		if !r.settled || r.cancel != nil || !r.read {
+			return false
+		}
+	}
+	return true
 }
 
 // dropRest ends what the drain limit has left.
--- a/internal/rtagent/serve.go
+++ b/internal/rtagent/serve.go
@@ -1,6 +1,7 @@
 package rtagent
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,6 +39,18 @@
 	return router
 }
 
+// arrivalKey is the context key of the time when a message began to arrive.
+type arrivalKey struct{}
+
+// arrivalOf returns when a message began to arrive. Its remaining time counts
+// from there, because a long body takes a while.
+func arrivalOf(ctx context.Context) time.Time {
+	if arrived, ok := ctx.Value(arrivalKey{}).(time.Time); ok {
+		return arrived
+	}
+	return time.Now()
+}
+
 // bounded refuses messages that are too large before it reads them.
 func bounded(next http.Handler) http.Handler {
 	limited := http.MaxBytesHandler(next, maxMessage)
@@ -46,7 +59,8 @@
 			http.Error(w, "message too large", http.StatusRequestEntityTooLarge)
 			return
 		}
-		limited.ServeHTTP(w, r)
+		ctx := context.WithValue(r.Context(), arrivalKey{}, time.Now())
+		limited.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
--- a/internal/rtagent/stages.go
+++ b/internal/rtagent/stages.go
@@ -84,7 +84,7 @@
 		Tokens:       1,
 		Size:         rtid.Bytes(len(message.Body) + len(message.Prefix)),
 		Arrived:      o.now,
-		Deadline:     o.now.Add(message.Remaining.AsDuration()),
+		Deadline:     o.arrived.Add(message.Remaining.AsDuration()),
 	}
 	if seen.organisation != nil {
 		item.Weight = seen.organisation.ShareOf(a.settings.Service)
@@ -179,6 +179,9 @@
 // reserved when the request leaves the queue, because a waiting prompt uses
 // none and would keep shorter ones from running.
 func (a *Agent) checkMemory(o *offer, _ *view) *refusal {
+	if a.kept > maxAnswers {
+		return refuse(rtwire.Reason_REASON_QUEUE, "too many answers wait for their readers")
+	}
 	if o.item.Memory > a.memory.Total() {
 		return refuse(rtwire.Reason_REASON_MEMORY, "the prompt needs %d tokens of memory, the engine has %d", o.item.Memory, a.memory.Total())
 	}
--- a/internal/rtagent/target.go
+++ b/internal/rtagent/target.go
@@ -3,21 +3,25 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 )
 
-// refusedByTarget takes in a refusal by the target. One with a higher fencing
-// number means that a later agent owns the target, so this one must stop.
-func (a *Agent) refusedByTarget(status *rttarget.StatusError) {
-	if status.Status == http.StatusConflict && status.Fence > a.node.Incarnation() {
+// refusedByTarget takes in a refusal by the target and returns the reason for
+// the caller. One with a higher fencing number means that a later agent owns
+// the target, so this one must stop.
+func (a *Agent) refusedByTarget(status *rttarget.StatusError) rtwire.Reason {
+	switch {
+	case status.Status == http.StatusInsufficientStorage:
+		return rtwire.Reason_REASON_MEMORY
+	case status.Status == http.StatusConflict && status.Fence > a.node.Incarnation():
 		a.fence(status)
-		return
-	}
-	if status.Status >= http.StatusInternalServerError || status.Status == http.StatusTooManyRequests {
-		a.resetWarm()
+	case status.Status >= http.StatusInternalServerError, status.Status == http.StatusTooManyRequests:
+		a.targetFailed(status)
 	}
+	return rtwire.Reason_REASON_TARGET
 }
 
 func (a *Agent) fence(status *rttarget.StatusError) {
@@ -35,12 +39,8 @@
 func (a *Agent) targetFailed(err error) {
 	a.log.Info("target failed", "error", err.Error())
 	a.metrics.Counter("target_failures").Inc(1)
-	a.resetWarm()
-}
-
-func (a *Agent) resetWarm() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.warm.Reset()
-	a.metrics.Gauge("warm_limit").Update(float64(a.warm.Now()))
+	a.broken = time.Now()
+	a.moveWarm(a.warm.Reset)
 }
--- a/internal/rtledger/ledger_test.go
+++ b/internal/rtledger/ledger_test.go
@@ -100,47 +100,66 @@
 	}
 }
 
+// machine drives a ledger by random steps.
+type machine struct {
+	ledger  *Ledger
+	now     time.Time
+	started map[rtid.Request]bool
+	epochs  map[rtid.Request]rtid.Epoch // named by each id
+	running []rtid.Request
+}
+
+func (m *machine) step(t *rapid.T) {
+	id := rtid.Request(fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id")))
+	if _, named := m.epochs[id]; !named {
+		m.epochs[id] = m.ledger.Epoch(m.now)
+	}
+	offered := Entry{ID: id, Epoch: m.epochs[id], Organisation: "court"}
+	switch rapid.IntRange(0, 4).Draw(t, "step") {
+	case 0:
+		m.now = m.now.Add(time.Duration(rapid.IntRange(0, 15).Draw(t, "minutes")) * time.Minute)
+	case 1:
+		m.ledger.Cancel(offered, m.now)
+	case 2:
+		if len(m.running) > 0 {
+			m.ledger.Finish(m.running[0], Result{State: StateDone, Body: []byte("result")})
+			m.running = m.running[1:]
+		}
+	default:
+		m.begin(t, offered)
+	}
+}
+
+func (m *machine) begin(t *rapid.T, offered Entry) {
+	if _, verdict := m.ledger.Begin(offered, m.now); verdict != Fresh || !m.ledger.Start(offered.ID) {
+		return
+	}
+	if m.started[offered.ID] {
+		t.Fatalf("%s starts twice", offered.ID)
+	}
+	m.started[offered.ID] = true
+	m.running = append(m.running, offered.ID)
+}
+
 // Guards against an id that starts twice, whatever is forgotten meanwhile, and
 // against more records than the limit.
 func TestNothingStartsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Limits{Records: rapid.IntRange(4, 12).Draw(t, "records"), Epochs: 3, Result: 10, Results: 30}
-		ledger := New(limits, start)
-		now := start
-		started := map[rtid.Request]bool{}
-		epochs := map[rtid.Request]rtid.Epoch{}
-		var running []rtid.Request
+		m := &machine{
+			ledger:  New(limits, start),
+			now:     start,
+			started: map[rtid.Request]bool{},
+			epochs:  map[rtid.Request]rtid.Epoch{},
+		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			id := rtid.Request(fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id")))
-			if _, named := epochs[id]; !named {
-				epochs[id] = ledger.Epoch(now)
-			}
-			offered := Entry{ID: id, Epoch: epochs[id], Organisation: "court"}
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
-			case 0:
-				now = now.Add(time.Duration(rapid.IntRange(0, 15).Draw(t, "minutes")) * time.Minute)
-			case 1:
-				ledger.Cancel(offered, now)
-			case 2:
-				if len(running) > 0 {
-					ledger.Finish(running[0], Result{State: StateDone, Body: []byte("result")})
-					running = running[1:]
-				}
-			default:
-				if _, verdict := ledger.Begin(offered, now); verdict == Fresh && ledger.Start(id) {
-					if started[id] {
-						t.Fatalf("%s starts twice", id)
-					}
-					started[id] = true
-					running = append(running, id)
-				}
-			}
-			if ledger.Len() > limits.Records || ledger.size > limits.Results {
-				t.Fatalf("%d records, %d bytes of results", ledger.Len(), ledger.size)
+			m.step(t)
+			if m.ledger.Len() > limits.Records || m.ledger.size > limits.Results {
+				t.Fatalf("%d records, %d bytes of results", m.ledger.Len(), m.ledger.size)
 			}
 		}
-		for _, id := range running {
-			if record, _ := ledger.Lookup(id); record.State != StateRunning {
+		for _, id := range m.running {
+			if record, _ := m.ledger.Lookup(id); record.State != StateRunning {
 				t.Fatalf("%s runs, but the ledger says %v", id, record.State)
 			}
 		}
--- a/internal/rtwarm/limit.go
+++ b/internal/rtwarm/limit.go
@@ -10,14 +10,19 @@
 // between good and slow changes nothing, so that noise around one threshold
 // does not move the limit up and down.
 const (
-	goodRatio   = 1.5
-	slowRatio   = 2.5
-	severeRatio = 5.0
+	GoodRatio   = 1.5
+	SlowRatio   = 2.5
+	SevereRatio = 5.0
 )
 
-// A fall needs slowCount slow completions among the last slowWindow, or one
-// severe one. A single slow completion is common: one packet loss between
-// agent and reader or one garbage collection at the target is enough.
+// minRound is the fewest completions after which the limit doubles. A cold
+// target warms up on work done, so a limit that doubled after each single
+// completion would outrun it.
+const minRound = 8
+
+// A fall needs slowCount slow ratios among the last slowWindow, or one severe
+// one. A single slow one is common: one garbage collection at the target is
+// enough.
 const (
 	slowCount  = 3
 	slowWindow = 8
@@ -33,7 +38,7 @@
 	warm   int  // limit of a warm target, at least cold
 	limit  int  // from cold to warm
 	good   int  // good completions in this round
-	recent uint // one bit per completion, newest lowest; set if slow
+	recent uint // one bit per ratio, newest lowest; set if slow
 	falls  uint64
 }
 
@@ -62,38 +67,48 @@
 	l.recent = 0
 }
 
-// Complete takes in a request that finished, with the measured time and the
-// time that a warm target needs for it at the same load.
-func (l *Limit) Complete(measured, expected time.Duration) {
-	ratio := float64(measured) / float64(expected+slack)
-	slow := ratio >= slowRatio
+// Ratio compares a measured time with the time that a warm target needs at
+// the same load.
+func Ratio(measured, expected time.Duration) float64 {
+	return float64(measured) / float64(expected+slack)
+}
+
+// Complete takes in the ratio of a request that finished. It moves the limit
+// up or down.
+func (l *Limit) Complete(ratio float64) {
+	l.Observe(ratio)
+	if ratio < GoodRatio {
+		l.rise()
+	}
+}
+
+// Observe takes in the ratio of a part of a request that still runs. It only
+// moves the limit down.
+func (l *Limit) Observe(ratio float64) {
 	l.recent = l.recent << 1 & (1<<slowWindow - 1)
-	if slow {
+	if ratio >= SlowRatio {
 		l.recent |= 1
 	}
-	switch {
-	case ratio >= severeRatio, l.slowCompletions() >= slowCount:
+	if ratio >= SevereRatio || l.slowOnes() >= slowCount {
 		l.Reset()
-	case ratio < goodRatio:
-		l.rise()
 	}
 }
 
 // rise doubles the limit when a whole round of requests completed well: as
-// many as may run at once.
+// many as may run at once, and at least minRound.
 func (l *Limit) rise() {
 	if l.limit == l.warm {
 		return
 	}
 	l.good++
-	if l.good < l.limit {
+	if l.good < max(l.limit, minRound) {
 		return
 	}
 	l.good = 0
 	l.limit = min(2*l.limit, l.warm)
 }
 
-func (l *Limit) slowCompletions() int {
+func (l *Limit) slowOnes() int {
 	count := 0
 	for bits := l.recent; bits != 0; bits &= bits - 1 {
 		count++
