--- a/internal/rtfake/engine_test.go
+++ b/internal/rtfake/engine_test.go
@@ -20,18 +20,25 @@
 func engineBubble(t *testing.T, config EngineConfig, test func(t *testing.T, engine *Engine, client *rttarget.Engine)) {
 	t.Helper()
 	bubble(t, func(t *testing.T, network *Network) {
-		engine := NewEngine(config)
-		task := rttask.Start(t.Context(), "engine", engine.Run)
-		t.Cleanup(func() {
-			if err := task.Stop(); err != nil {
-				t.Error(err)
-			}
-		})
-		serveB(t, network, engine)
+		engine := runEngine(t, network, config)
 		test(t, engine, rttarget.NewEngine(rtnet.Client(network.Host(hostA)), portB))
 	})
 }
 
+// runEngine serves an engine at host B until the test ends.
+func runEngine(t *testing.T, network *Network, config EngineConfig) *Engine {
+	t.Helper()
+	engine := NewEngine(config)
+	task := rttask.Start(t.Context(), "engine", engine.Run)
+	t.Cleanup(func() {
+		if err := task.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	serveB(t, network, engine)
+	return engine
+}
+
 func request(id rtid.Request, prompt string, output rtid.Tokens) rttarget.GenerateRequest {
 	return rttarget.GenerateRequest{ID: id, Prompt: []byte(prompt), Output: output}
 }
--- a/internal/rtfake/network_test.go
+++ b/internal/rtfake/network_test.go
@@ -38,7 +38,12 @@
 // serveB serves a handler at host B until the test ends.
 func serveB(t *testing.T, network *Network, handler http.Handler) {
 	t.Helper()
-	listener, err := network.Listen(portB)
+	serveAt(t, network, portB, handler)
+}
+
+func serveAt(t *testing.T, network *Network, address rtid.Address, handler http.Handler) {
+	t.Helper()
+	listener, err := network.Listen(address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/rtfake/weights.go
@@ -0,0 +1,96 @@
+package rtfake
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+// Defaults of the weight store.
+const (
+	weightRate  = 10 // reads a second
+	weightBurst = 10
+	weightSize  = 64 << 10 // bytes of one model
+)
+
+// WeightStore serves the weights of every model. The zero value is ready to
+// use.
+type WeightStore struct {
+	Rate float64 // reads a second; 0 means weightRate, negative no limit
+
+	mu      sync.Mutex
+	limiter *rate.Limiter
+	served  map[rtid.Model]int
+	refused int
+}
+
+// ServeHTTP implements http.Handler.
+func (s *WeightStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	model, found := strings.CutPrefix(r.URL.Path, "/weights/")
+	if !found || model == "" || r.Method != http.MethodGet {
+		failed(http.StatusNotFound, "only GET /weights/{model} is supported").write(w)
+		return
+	}
+	if !s.count(rtid.Model(model)) {
+		failed(http.StatusTooManyRequests, "over the rate of the weight store").write(w)
+		return
+	}
+	// An error means that the reader has gone.
+	_, _ = w.Write(bytes.Repeat([]byte{1}, weightSize))
+}
+
+// count counts one read and reports whether the rate allows it.
+func (s *WeightStore) count(model rtid.Model) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limiter == nil {
+		s.limiter = newLimiter(s.Rate, weightRate, weightBurst)
+		s.served = map[rtid.Model]int{}
+	}
+	if !s.limiter.Allow() {
+		s.refused++
+		return false
+	}
+	s.served[model]++
+	return true
+}
+
+// Reads returns how often the weights of a model were served, and how many
+// reads of any model were refused.
+func (s *WeightStore) Reads(model rtid.Model) (served, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served[model], s.refused
+}
+
+// WeightReader returns a function for EngineConfig.Weights that reads from
+// the weight store at address.
+func WeightReader(client *http.Client, address rtid.Address) func(context.Context, rtid.Model) error {
+	return func(ctx context.Context, model rtid.Model) error {
+		url := "http://" + string(address) + "/weights/" + string(model)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return fmt.Errorf("create request: %w", err)
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			return fmt.Errorf("read weights: %w", err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		if response.StatusCode != http.StatusOK {
+			return fmt.Errorf("read weights: status %d", response.StatusCode)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return fmt.Errorf("read weights: %w", err)
+		}
+		return nil
+	}
+}
