Distribute configuration and list of VMs by designated readers and peers

Cause: every process watched the platform and every entry beat all agents. Ruled out: passing on the whole list at each change.

--- /dev/null
+++ b/internal/rtnode/dump.go
@@ -0,0 +1,112 @@
+package rtnode
+
+import (
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtconfig"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+// Dump is the state of a node at one instant. It is a copy, except for the
+// findings, which are read only.
+type Dump struct {
+	VM            rtid.VM          `json:"vm"`
+	Zone          rtid.Zone        `json:"zone"`
+	Incarnation   rtid.Incarnation `json:"incarnation"`
+	Ready         bool             `json:"ready"`
+	Leaving       bool             `json:"leaving"`
+	Reader        bool             `json:"reader"` // designated reader of the platform
+	Configuration Configuration    `json:"configuration"`
+	List          rtid.Version     `json:"list"`     // version of the list of VMs, 0 for none
+	VMs           int              `json:"vms"`      // in the list
+	Interval      float64          `json:"interval"` // of heartbeats, in seconds
+	Subset        []rtid.VM        `json:"subset"`   // agents that get heartbeats
+	Heard         []Peer           `json:"heard"`    // processes that are alive
+}
+
+// Configuration is the state of the configuration in a process.
+type Configuration struct {
+	Version   rtid.Version      `json:"version"` // 0 for none
+	Revision  rtid.Revision     `json:"revision"`
+	ZoneState rtdocument.State  `json:"zone_state"`        // of this process's zone, empty without a document
+	Confirmed float64           `json:"confirmed"`         // seconds since a reader found the version to be the newest, -1 for never
+	Refused   *rtconfig.Refusal `json:"refused,omitempty"` // newest refused document above the version in force
+	Counts    rtconfig.Counts   `json:"counts"`            // totals since the start
+}
+
+// Peer is a process that is alive.
+type Peer struct {
+	VM      rtid.VM      `json:"vm"`
+	Target  rtid.Target  `json:"target,omitempty"`
+	Address rtid.Address `json:"address"`
+	Version rtid.Version `json:"version"`
+	List    rtid.Version `json:"list"`
+	Leaving bool         `json:"leaving"`
+}
+
+// Dump returns the state of the node.
+func (n *Node) Dump() Dump {
+	configuration := n.Configuration()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	roster := n.table.Roster()
+	return Dump{
+		VM:            n.self.VM,
+		Zone:          n.self.Zone,
+		Incarnation:   n.incarnation,
+		Ready:         n.ready,
+		Leaving:       n.leaving,
+		Reader:        n.reader,
+		Configuration: configuration,
+		List:          roster.Version(),
+		VMs:           len(roster.Members()),
+		Interval:      n.interval.Seconds(),
+		Subset:        namesOf(n.subset),
+		Heard:         peersOf(n.table.Heard(time.Now())),
+	}
+}
+
+// Configuration returns the state of the configuration, for operators.
+func (n *Node) Configuration() Configuration {
+	current := n.store.Current()
+	state := Configuration{Version: current.Version, Confirmed: -1, Counts: n.store.Counts()}
+	if current.Document != nil {
+		state.Revision = current.Document.Revision
+		state.ZoneState = current.Document.ZoneState(n.self.Zone)
+	}
+	if refusal, found := n.store.Refusal(); found {
+		state.Refused = &refusal
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.confirmed.IsZero() {
+		state.Confirmed = time.Since(n.confirmed).Seconds()
+	}
+	return state
+}
+
+func namesOf(members []rtplatform.Member) []rtid.VM {
+	names := make([]rtid.VM, 0, len(members))
+	for _, member := range members {
+		names = append(names, member.VM)
+	}
+	return names
+}
+
+func peersOf(statuses []*rtwire.Status) []Peer {
+	peers := make([]Peer, 0, len(statuses))
+	for _, status := range statuses {
+		peers = append(peers, Peer{
+			VM:      rtid.VM(status.Vm),
+			Target:  rtid.Target(status.Target),
+			Address: rtid.Address(status.Address),
+			Version: rtid.Version(status.Version),
+			List:    rtid.Version(status.Roster),
+			Leaving: status.Leaving,
+		})
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/rtnode/heartbeat.go
@@ -0,0 +1,136 @@
+package rtnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtmember"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
+)
+
+// jitterParts is the share of an interval by which heartbeats vary, as a
+// divisor, so that the entries do not beat in step.
+const jitterParts = 10
+
+// setInterval sets the interval of heartbeats for the list of VMs held. All
+// processes compute it from their own list, so that agents know how long an
+// entry may be silent. n.mu is held, or n is not shared yet.
+func (n *Node) setInterval() {
+	base := time.Duration(n.options.Settings.Heartbeat)
+	if base <= 0 {
+		base = defaultHeartbeat
+	}
+	entries, agents := 0, 0
+	for _, member := range n.table.Roster().Members() {
+		if member.Role == rtplatform.RoleAgent {
+			agents++
+		} else {
+			entries++
+		}
+	}
+	n.interval = rtmember.Interval(base, min(agents, rtmember.SubsetLimit), entries, agents)
+	n.table.Silence = rtmember.AliveIntervals * n.interval
+}
+
+// keepTable forgets silent processes and, in an entry, keeps one task of
+// heartbeats for each agent of the subset.
+func (n *Node) keepTable(ctx context.Context) error {
+	beats := make(map[rtid.Address]*rttask.Task)
+	for ctx.Err() == nil {
+		subset, interval, changed := n.updateSubset(time.Now())
+		n.keepBeats(ctx, beats, subset)
+		wait(ctx, interval, changed)
+	}
+	n.keepBeats(ctx, beats, nil)
+	return nil
+}
+
+// updateSubset recomputes the subset and returns it with the interval of
+// heartbeats and the channel of the next change of the list.
+func (n *Node) updateSubset(now time.Time) ([]rtplatform.Member, time.Duration, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.Prune(now)
+	if n.self.Role == rtplatform.RoleEntry {
+		n.subset = rtmember.Subset(n.self, n.table.Candidates(now), rtmember.SubsetLimit)
+		n.targets = targetsOf(n.subset)
+	}
+	return n.subset, n.interval, n.listChanged
+}
+
+// targetsOf returns the targets of agents by service, sorted.
+func targetsOf(agents []rtplatform.Member) map[rtid.Service][]rtid.Target {
+	targets := make(map[rtid.Service][]rtid.Target)
+	for _, agent := range agents {
+		targets[agent.Service] = append(targets[agent.Service], agent.Target)
+	}
+	for service, list := range targets {
+		slices.Sort(list)
+		targets[service] = slices.Compact(list)
+	}
+	return targets
+}
+
+// keepBeats starts and stops tasks so that each agent of the subset has one.
+func (n *Node) keepBeats(ctx context.Context, beats map[rtid.Address]*rttask.Task, subset []rtplatform.Member) {
+	wanted := make(map[rtid.Address]bool, len(subset))
+	for _, member := range subset {
+		wanted[member.Address] = true
+		if beats[member.Address] == nil {
+			beats[member.Address] = n.startBeat(ctx, member.Address)
+		}
+	}
+	for address, task := range beats {
+		if !wanted[address] {
+			n.logEnd("heartbeats", task.Stop())
+			delete(beats, address)
+			continue
+		}
+		select {
+		case err := <-task.Done():
+			n.logEnd("heartbeats", err)
+			delete(beats, address)
+		default:
+		}
+	}
+}
+
+func (n *Node) logEnd(task string, err error) {
+	if err != nil {
+		n.options.Log.Error(err, "task ended", "task", task)
+	}
+}
+
+// startBeat exchanges status with one agent each interval. The first
+// exchange is at once, the second at a random part of the interval.
+func (n *Node) startBeat(ctx context.Context, address rtid.Address) *rttask.Task {
+	return rttask.Start(ctx, "heartbeat", func(ctx context.Context) error {
+		n.beat(ctx, address)
+		pause(ctx, rand.N(n.currentInterval()))
+		for ctx.Err() == nil {
+			n.beat(ctx, address)
+			interval := n.currentInterval()
+			spread := interval / jitterParts
+			pause(ctx, interval-spread/2+rand.N(spread))
+		}
+		return nil
+	})
+}
+
+func (n *Node) currentInterval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.interval
+}
+
+// beat exchanges status with one agent and queues a pull if it knows more.
+func (n *Node) beat(ctx context.Context, address rtid.Address) {
+	status, err := n.hello(ctx, address)
+	if err == nil && n.behind(status) {
+		n.queuePull(status)
+	}
+}
--- a/internal/rtnode/node.go
+++ b/internal/rtnode/node.go
@@ -3,20 +3,19 @@
 package rtnode
 
 import (
-	"cmp"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtconfig"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtmember"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 )
@@ -27,7 +26,7 @@
 	Role     rtwire.Role
 	Network  rtnet.Network
 	Log      logr.Logger
-	Metrics  tally.Scope
+	Metrics  tally.Scope // nil for none
 
 	// The rest is set by agents only.
 	Target  rtid.Target
@@ -50,33 +49,76 @@
 
 // Node is the control part of one process.
 type Node struct {
-	options Options
-	client  *http.Client
+	options  Options
+	self     rtplatform.Member
+	client   *http.Client
+	peers    rtwire.HTTPClient
+	platform platform
+	store    *rtconfig.Store
+	counters counters
+	started  chan struct{}
+	pulls    chan *rtwire.Status // peers that know more than this process
 
 	mu          sync.Mutex
 	incarnation rtid.Incarnation // rises only
 	ready       bool
-	leaving     bool         // never goes back to false
-	version     rtid.Version // rises only
-	document    *rtdocument.Document
-	body        []byte
-	changed     chan struct{} // closed at the next change of version
-	roster      rtid.Version  // version of members, rises only
-	members     map[rtid.VM]*rtwire.Member
-	heard       map[rtid.Target]View
-	started     chan struct{}
+	leaving     bool          // never goes back to false
+	left        chan struct{} // closed when leaving becomes true
+	confirmed   time.Time     // when a reader last found the version in force to be the newest; zero if never
+	begun       time.Time     // start of Run
+	table       rtmember.Table
+	reader      bool                           // designated reader by the list of VMs
+	listChanged chan struct{}                  // closed at the next change of the list of VMs
+	subset      []rtplatform.Member            // agents that get heartbeats, sorted by VM
+	targets     map[rtid.Service][]rtid.Target // of the subset, sorted
+	interval    time.Duration                  // of heartbeats
+	pulling     map[pullKind]pull
 }
 
+// defaultHeartbeat is the interval of heartbeats without a setting.
+const defaultHeartbeat = time.Second
+
 // New returns a node that has not started.
 func New(options Options) *Node {
-	return &Node{
+	if options.Metrics == nil {
+		options.Metrics = tally.NoopScope
+	}
+	client := rtnet.Client(options.Network)
+	node := &Node{
 		options:     options,
-		client:      rtnet.Client(options.Network),
-		incarnation: rtid.NewIncarnation(time.Now()),
-		changed:     make(chan struct{}),
-		heard:       make(map[rtid.Target]View),
+		client:      client,
+		peers:       boundedClient{client: client, limit: maxMessage},
+		platform:    platform{client: client, address: options.Settings.Platform},
+		store:       rtconfig.New(rtdocument.Decode),
+		counters:    newCounters(options.Metrics),
 		started:     make(chan struct{}),
+		pulls:       make(chan *rtwire.Status, maxPulls),
+		incarnation: rtid.NewIncarnation(time.Now()),
+		left:        make(chan struct{}),
+		begun:       time.Now(),
+		listChanged: make(chan struct{}),
+		pulling:     make(map[pullKind]pull),
+	}
+	node.platform.count = node.counters.platformCalls
+	node.self = selfOf(options)
+	node.setInterval()
+	return node
+}
+
+func selfOf(options Options) rtplatform.Member {
+	self := rtplatform.Member{
+		VM:      options.Settings.VM,
+		Role:    rtplatform.RoleEntry,
+		Zone:    options.Settings.Zone,
+		Address: options.Settings.Peers,
+		State:   rtplatform.StateLive,
+		Target:  options.Target,
+		Service: options.Service,
 	}
+	if options.Role == rtwire.Role_ROLE_AGENT {
+		self.Role = rtplatform.RoleAgent
+	}
+	return self
 }
 
 // Started returns a channel that is closed when the node has learned the
@@ -86,17 +128,12 @@
 // Document returns the document in force and its version; nil and 0 before
 // one is known. The document is read only.
 func (n *Node) Document() (rtid.Version, *rtdocument.Document) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.version, n.document
+	current := n.store.Current()
+	return current.Version, current.Document
 }
 
 // Changed returns a channel that is closed when a newer document is in force.
-func (n *Node) Changed() <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.changed
-}
+func (n *Node) Changed() <-chan struct{} { return n.store.Changed() }
 
 // SetReady tells peers whether this process serves requests.
 func (n *Node) SetReady(ready bool) {
@@ -109,7 +146,10 @@
 func (n *Node) SetLeaving() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.leaving = true
+	if !n.leaving {
+		n.leaving = true
+		close(n.left)
+	}
 }
 
 // Incarnation returns the incarnation of this process.
@@ -127,64 +167,18 @@
 	n.incarnation = max(n.incarnation, floor)
 }
 
-// Status returns the status of this process for its peers.
-func (n *Node) Status() *rtwire.Status {
-	n.mu.Lock()
-	status := &rtwire.Status{
-		Vm:          string(n.options.Settings.VM),
-		Role:        n.options.Role,
-		Zone:        string(n.options.Settings.Zone),
-		Address:     string(n.options.Settings.Peers),
-		Incarnation: uint64(n.incarnation),
-		Version:     uint64(n.version),
-		Roster:      uint64(n.roster),
-		Leaving:     n.leaving,
-		Ready:       n.ready,
-		Confirmed:   durationpb.New(0),
-		Target:      string(n.options.Target),
-		Service:     string(n.options.Service),
-	}
-	n.mu.Unlock()
-	if n.options.Load != nil {
-		status.Load = n.options.Load()
-	}
-	if n.options.Epoch != nil {
-		status.Epoch = uint32(n.options.Epoch())
-	}
-	return status
-}
-
-// Observe takes in a status that came with any exchange, as a heartbeat.
-func (n *Node) Observe(status *rtwire.Status) {
-	if status == nil || status.Target == "" {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.heard[rtid.Target(status.Target)] = View{
-		Target:  rtid.Target(status.Target),
-		Service: rtid.Service(status.Service),
-		Zone:    rtid.Zone(status.Zone),
-		Address: rtid.Address(status.Address),
-		Status:  proto.Clone(status).(*rtwire.Status),
-		Heard:   time.Now(),
-		Alive:   true,
-		Leaving: status.Leaving,
-	}
-}
-
 // Targets returns the agents in this process's subset that serve a service,
 // sorted by target.
 func (n *Node) Targets(service rtid.Service) []View {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := time.Now()
 	var views []View
-	for _, member := range n.members {
-		if member.Role == rtwire.Role_ROLE_AGENT && member.Service == string(service) {
-			views = append(views, n.view(member))
+	for _, target := range n.targets[service] {
+		if agent, found := n.table.Find(target, now); found {
+			views = append(views, viewOf(target, agent))
 		}
 	}
-	slices.SortFunc(views, func(a, b View) int { return cmp.Compare(a.Target, b.Target) })
 	return views
 }
 
@@ -192,27 +186,22 @@
 func (n *Node) Find(target rtid.Target) (View, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, member := range n.members {
-		if member.Role == rtwire.Role_ROLE_AGENT && member.Target == string(target) {
-			return n.view(member), true
-		}
+	agent, found := n.table.Find(target, time.Now())
+	if !found {
+		return View{}, false
 	}
-	view, found := n.heard[target]
-	return view, found
+	return viewOf(target, agent), true
 }
 
-// view joins the list of VMs with the last status heard. n.mu is held.
-func (n *Node) view(member *rtwire.Member) View {
-	view := View{
-		Target:  rtid.Target(member.Target),
-		Service: rtid.Service(member.Service),
-		Zone:    rtid.Zone(member.Zone),
-		Address: rtid.Address(member.Address),
-	}
-	if heard, found := n.heard[view.Target]; found {
-		view = heard
-		view.Alive = time.Since(heard.Heard) <= 3*n.heartbeat()
+func viewOf(target rtid.Target, agent rtmember.Agent) View {
+	return View{
+		Target:  target,
+		Service: agent.Member.Service,
+		Zone:    agent.Member.Zone,
+		Address: agent.Member.Address,
+		Status:  agent.Heard.Status,
+		Heard:   agent.Heard.At,
+		Alive:   agent.Alive,
+		Leaving: agent.Leaving,
 	}
-	view.Leaving = view.Leaving || member.Leaving
-	return view
 }
--- a/internal/rtnode/platform.go
+++ b/internal/rtnode/platform.go
@@ -8,107 +8,109 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
-	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtmember"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
 )
 
-// errAbsent means that the platform has nothing newer, or nothing at all.
-var errAbsent = errors.New("platform has nothing newer")
+// errNothingNewer means that a watch has ended without a newer version, or
+// that nothing is published.
+var errNothingNewer = errors.New("platform has nothing newer")
+
+const (
+	// maxList bounds the list of VMs as the platform sends it.
+	maxList rtid.Bytes = 8 << 20
 
-// maxVMs bounds the list of VMs as the platform sends it.
-const maxVMs rtid.Bytes = 8 << 20
+	// watchLimit ends a watch that the platform should have ended after 30 s.
+	watchLimit = 35 * time.Second
+)
 
 // platform is the client of the configuration service and the list of VMs.
 type platform struct {
 	client  *http.Client
 	address rtid.Address
+	count   tally.Counter
 }
 
-// vm is one line of the platform's list.
-type vm struct {
-	VM      rtid.VM      `json:"vm"`
-	Role    string       `json:"role"`
-	Zone    rtid.Zone    `json:"zone"`
-	Address rtid.Address `json:"address"`
-	State   string       `json:"state"`
-	Target  rtid.Target  `json:"target"`
-	Service rtid.Service `json:"service"`
+// answer is what one call returned.
+type answer struct {
+	version rtid.Version
+	body    []byte
 }
 
-// document returns a document above version after. With after zero it returns
-// at once; otherwise the platform holds the call until there is one.
-func (p platform) document(ctx context.Context, after rtid.Version) (rtid.Version, []byte, error) {
-	return p.get(ctx, "/document", after, rtdocument.MaxSize)
+// readDocument returns the published document.
+func (p platform) readDocument(ctx context.Context) (answer, error) {
+	return p.get(ctx, "/document", rtdocument.MaxSize)
 }
 
-// vms returns a list of VMs above version after, in the same way.
-func (p platform) vms(ctx context.Context, after rtid.Version) (rtid.Version, []*rtwire.Member, error) {
-	version, body, err := p.get(ctx, "/vms", after, maxVMs)
-	if err != nil {
-		return 0, nil, err
-	}
-	var list []vm
-	if err := json.Unmarshal(body, &list); err != nil {
-		return 0, nil, fmt.Errorf("decode list of VMs: %w", err)
-	}
-	members := make([]*rtwire.Member, 0, len(list))
-	for _, line := range list {
-		members = append(members, line.member())
-	}
-	return version, members, nil
+// watchDocument waits for a document above a version.
+func (p platform) watchDocument(ctx context.Context, after rtid.Version) (answer, error) {
+	return p.get(ctx, watchPath("/document", after), rtdocument.MaxSize)
 }
 
-func (v vm) member() *rtwire.Member {
-	member := &rtwire.Member{
-		Vm:      string(v.VM),
-		Zone:    string(v.Zone),
-		Address: string(v.Address),
-		Leaving: v.State == "leaving",
-		Target:  string(v.Target),
-		Service: string(v.Service),
-	}
-	switch v.Role {
-	case "entry":
-		member.Role = rtwire.Role_ROLE_ENTRY
-	case "agent":
-		member.Role = rtwire.Role_ROLE_AGENT
-	}
-	return member
+// readList returns the list of VMs.
+func (p platform) readList(ctx context.Context) (answer, error) {
+	return p.get(ctx, "/vms", maxList)
 }
 
-func (p platform) get(ctx context.Context, path string, after rtid.Version, limit rtid.Bytes) (rtid.Version, []byte, error) {
-	url := "http://" + string(p.address) + path
-	if after > 0 {
-		url += "?after=" + strconv.FormatUint(uint64(after), 10)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// watchList waits for a list of VMs above a version.
+func (p platform) watchList(ctx context.Context, after rtid.Version) (answer, error) {
+	return p.get(ctx, watchPath("/vms", after), maxList)
+}
+
+func watchPath(path string, after rtid.Version) string {
+	return path + "?after=" + strconv.FormatUint(uint64(after), 10)
+}
+
+func (p platform) get(ctx context.Context, path string, limit rtid.Bytes) (answer, error) {
+	p.count.Inc(1)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(p.address)+path, nil)
 	if err != nil {
-		return 0, nil, fmt.Errorf("create request: %w", err)
+		return answer{}, fmt.Errorf("create request: %w", err)
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return 0, nil, fmt.Errorf("platform: %w", err)
+		return answer{}, fmt.Errorf("platform: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusNoContent, http.StatusNotFound:
-		return 0, nil, errAbsent
+		return answer{}, errNothingNewer
 	default:
-		return 0, nil, fmt.Errorf("platform: %s answered %d", path, response.StatusCode)
+		return answer{}, fmt.Errorf("platform: %s answered %d", path, response.StatusCode)
 	}
-	version, err := strconv.ParseUint(response.Header.Get("Version"), 10, 64)
+	version, err := strconv.ParseUint(response.Header.Get(rtplatform.HeaderVersion), 10, 64)
 	if err != nil {
-		return 0, nil, fmt.Errorf("platform: header Version: %w", err)
+		return answer{}, fmt.Errorf("platform: header %s: %w", rtplatform.HeaderVersion, err)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
 	if err != nil {
-		return 0, nil, fmt.Errorf("platform: read %s: %w", path, err)
+		return answer{}, fmt.Errorf("platform: read %s: %w", path, err)
 	}
 	if rtid.Bytes(len(body)) > limit {
-		return 0, nil, fmt.Errorf("platform: %s is over %d bytes", path, limit)
+		return answer{}, fmt.Errorf("platform: %s is over %d bytes", path, limit)
+	}
+	return answer{version: rtid.Version(version), body: body}, nil
+}
+
+// decodeList returns the whole list of VMs of an answer. Malformed lines are
+// left out, so that one of them does not hide the rest, and counted.
+func decodeList(list answer) (rtmember.Delta, int, error) {
+	var lines []rtplatform.Member
+	if err := json.Unmarshal(list.body, &lines); err != nil {
+		return rtmember.Delta{}, 0, fmt.Errorf("decode list of VMs: %w", err)
+	}
+	delta := rtmember.Delta{Version: list.version}
+	for _, line := range lines {
+		if checkMember(line) == nil {
+			delta.Members = append(delta.Members, line)
+		}
 	}
-	return rtid.Version(version), body, nil
+	return delta, len(lines) - len(delta.Members), nil
 }
