Run the whole path: fleet in one process and demo

Cause: no request had passed from a caller through entry and agent to a target yet. Ruled out: real programs for the demo; it must need nothing installed. Change: internal/rtfleet starts stand-ins, entries and agents on a given network; internal/rtdemo shows streams, an order sent twice, a true refusal, an availability zone out and back, and a dump.

--- /dev/null
+++ b/internal/rtdemo/demo_test.go
@@ -0,0 +1,15 @@
+package rtdemo
+
+import (
+	"bytes"
+	"testing"
+)
+
+// Guards against a demo that no longer shows what the README promises.
+func TestRun(t *testing.T) {
+	var out bytes.Buffer
+	if err := Run(t.Context(), &out); err != nil {
+		t.Fatalf("%v\n%s", err, out.Bytes())
+	}
+	t.Logf("%s", out.Bytes())
+}
--- a/internal/rtfake/engine.go
+++ b/internal/rtfake/engine.go
@@ -45,6 +45,7 @@
 	PeakCold  int         // most streams after one was added while cold, out of the grace
 	Failovers int         // of a cold engine under too many streams
 	Steps     int         // of continuous batching
+	Started   int         // generations, whatever became of them
 	Commands  int         // POST /order that had an effect
 	Used      rtid.Tokens // KV memory used now
 	Streams   int         // live now
--- a/internal/rtfake/enginehttp.go
+++ b/internal/rtfake/enginehttp.go
@@ -120,6 +120,7 @@
 	}
 	g.prefill = max(0, g.prefill-e.cache.lookup(request.Prompt))
 	e.executions[request.ID]++
+	e.stats.Started++
 	e.batch.add(g)
 	e.checkColdLocked()
 	e.recordLoadLocked(time.Now())
--- /dev/null
+++ b/internal/rtfleet/fleet.go
@@ -0,0 +1,277 @@
+// Package rtfleet runs a whole fleet in one process: stand-ins of the platform
+// and the targets, entries and agents, each on a VM of its own. The demo, the
+// tests of failures and the measurements use it.
+package rtfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtagent"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtentry"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
+)
+
+// Options describe a fleet.
+type Options struct {
+	Space    Space
+	Document rtdocument.Document // its first draft and first order service are served
+	Entries  int                 // per availability zone
+	Engines  int                 // per availability zone
+	Plain    int                 // plain services per availability zone
+	Engine   rtfake.EngineConfig
+	Service  rtfake.ServiceConfig
+	Agent    rtsettings.Agent // slots, cold, rate, memory of engines
+	Drain    time.Duration
+	Longest  time.Duration
+	Log      logr.Logger
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Platform *rtfake.Platform
+	Entries  []*Process
+	Agents   []*Process // engines first, then plain services; by availability zone
+	Engines  map[rtid.Target]*rtfake.Engine
+	Services map[rtid.Target]*rtfake.Service
+
+	options  Options
+	ctx      context.Context // of the stand-ins
+	platform rtid.Address
+	fakes    []*rttask.Task
+	members  []rtplatform.Member
+	vms      int
+}
+
+// New starts the stand-ins and all processes, and publishes the document.
+// Close ends them.
+func New(ctx context.Context, options Options) (*Fleet, error) {
+	fleet := &Fleet{
+		Platform: &rtfake.Platform{},
+		Engines:  make(map[rtid.Target]*rtfake.Engine),
+		Services: make(map[rtid.Target]*rtfake.Service),
+		options:  options,
+		ctx:      ctx,
+	}
+	if err := fleet.startPlatform(); err != nil {
+		return fleet, err
+	}
+	for _, zone := range options.Document.Zones {
+		if err := fleet.addZone(zone.Name); err != nil {
+			return fleet, err
+		}
+	}
+	fleet.Platform.SetVMs(fleet.members, 0)
+	if _, err := fleet.Publish(options.Document); err != nil {
+		return fleet, err
+	}
+	for _, process := range append(fleet.Agents, fleet.Entries...) {
+		if err := fleet.Start(process); err != nil {
+			return fleet, err
+		}
+	}
+	return fleet, nil
+}
+
+// Start runs a new incarnation of a process that was stopped or killed.
+func (f *Fleet) Start(process *Process) error {
+	if err := process.start(f.ctx, f.options.Space); err != nil {
+		return fmt.Errorf("start %s: %w", process.VM, err)
+	}
+	return nil
+}
+
+// Publish publishes a document on the platform.
+func (f *Fleet) Publish(document rtdocument.Document) (rtid.Version, error) {
+	body, err := rtdocument.Encode(&document)
+	if err != nil {
+		return 0, fmt.Errorf("publish: %w", err)
+	}
+	return f.Platform.Publish(body), nil
+}
+
+// Close stops all processes gracefully, then the stand-ins.
+func (f *Fleet) Close() error {
+	var errs []error
+	for _, processes := range [][]*Process{f.Entries, f.Agents} {
+		for _, process := range processes {
+			process.BeginStop()
+		}
+		for _, process := range processes {
+			errs = append(errs, process.Stop())
+		}
+	}
+	for _, fake := range f.fakes {
+		errs = append(errs, fake.Stop())
+	}
+	return errors.Join(errs...)
+}
+
+// startPlatform serves the platform's stand-in.
+func (f *Fleet) startPlatform() error {
+	address, err := f.serve("10.0.0.1", f.Platform)
+	f.platform = address
+	return err
+}
+
+// serve serves a stand-in at a fresh address of host.
+func (f *Fleet) serve(host string, handler http.Handler) (rtid.Address, error) {
+	address, err := f.options.Space.Address(host)
+	if err != nil {
+		return "", err
+	}
+	listener, err := f.options.Space.Network(host).Listen(address)
+	if err != nil {
+		return "", err
+	}
+	f.fakes = append(f.fakes, rttask.Start(f.ctx, host, func(ctx context.Context) error {
+		return rtfake.Serve(ctx, listener, handler)
+	}))
+	return address, nil
+}
+
+// addZone creates the processes and targets of an availability zone.
+func (f *Fleet) addZone(zone rtid.Zone) error {
+	for i := range f.options.Engines {
+		if err := f.addEngine(zone, i); err != nil {
+			return err
+		}
+	}
+	for i := range f.options.Plain {
+		if err := f.addService(zone, i); err != nil {
+			return err
+		}
+	}
+	for i := range f.options.Entries {
+		if err := f.addEntry(zone, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// nextHost returns the IP address of a fresh VM.
+func (f *Fleet) nextHost() string {
+	f.vms++
+	return fmt.Sprintf("10.0.%d.%d", 1+f.vms/200, 1+f.vms%200)
+}
+
+// addEngine creates an engine and its agent.
+func (f *Fleet) addEngine(zone rtid.Zone, number int) error {
+	target := rtid.Target(fmt.Sprintf("%s-engine-%d", zone, number+1))
+	engine := rtfake.NewEngine(f.options.Engine)
+	f.Engines[target] = engine
+	f.fakes = append(f.fakes, rttask.Start(f.ctx, string(target), engine.Run))
+	address, err := f.serve(f.nextHost(), engine)
+	if err != nil {
+		return err
+	}
+	settings := f.options.Agent
+	settings.Kind = "engine"
+	settings.Service = f.serviceOf(rtdocument.KindDraft)
+	settings.Fencing = f.options.Engine.Fencing
+	return f.addAgent(zone, target, address, settings)
+}
+
+// addService creates a plain service and its agent.
+func (f *Fleet) addService(zone rtid.Zone, number int) error {
+	target := rtid.Target(fmt.Sprintf("%s-service-%d", zone, number+1))
+	service := rtfake.NewService(f.options.Service)
+	f.Services[target] = service
+	address, err := f.serve(f.nextHost(), service)
+	if err != nil {
+		return err
+	}
+	settings := f.options.Agent
+	settings.Kind = "service"
+	settings.Service = f.serviceOf(rtdocument.KindOrder)
+	settings.Memory = 0
+	settings.Fencing = f.options.Service.Fencing
+	return f.addAgent(zone, target, address, settings)
+}
+
+// serviceOf returns the first service of a kind in the document.
+func (f *Fleet) serviceOf(kind rtdocument.Kind) rtid.Service {
+	for _, service := range f.options.Document.Services {
+		if service.Kind == kind {
+			return service.Name
+		}
+	}
+	return ""
+}
+
+// common returns the settings that entries and agents share.
+func (f *Fleet) common(process *Process) rtsettings.Common {
+	return rtsettings.Common{
+		VM:        process.VM,
+		Zone:      process.Zone,
+		Peers:     process.Peers,
+		Operators: process.Operators,
+		Platform:  f.platform,
+		Drain:     rtsettings.Duration(f.options.Drain),
+		Heartbeat: rtsettings.Duration(time.Second),
+	}
+}
+
+// newProcess returns a process on a fresh VM.
+func (f *Fleet) newProcess(name string, zone rtid.Zone, role rtplatform.Role) (*Process, error) {
+	process := &Process{VM: rtid.VM(name), Host: f.nextHost(), Zone: zone, role: role}
+	for _, address := range []*rtid.Address{&process.Peers, &process.Operators, &process.Callers} {
+		fresh, err := f.options.Space.Address(process.Host)
+		if err != nil {
+			return nil, err
+		}
+		*address = fresh
+	}
+	return process, nil
+}
+
+// addAgent creates the agent of a target.
+func (f *Fleet) addAgent(zone rtid.Zone, target rtid.Target, address rtid.Address, settings rtsettings.Agent) error {
+	process, err := f.newProcess("vm-"+string(target), zone, rtplatform.RoleAgent)
+	if err != nil {
+		return err
+	}
+	process.Target = target
+	settings.Common = f.common(process)
+	settings.Target = target
+	settings.Address = address
+	process.metrics = "rhubarbtally_agent"
+	process.create = func(network *lifeline, metrics *rtmetric.Metrics) (runner, error) {
+		return rtagent.New(settings, rtagent.Dependencies{Network: network, Log: f.options.Log, Metrics: metrics}), nil
+	}
+	f.Agents = append(f.Agents, process)
+	f.members = append(f.members, process.Member(settings.Service))
+	return nil
+}
+
+// addEntry creates an entry.
+func (f *Fleet) addEntry(zone rtid.Zone, number int) error {
+	process, err := f.newProcess(fmt.Sprintf("vm-%s-entry-%d", zone, number+1), zone, rtplatform.RoleEntry)
+	if err != nil {
+		return err
+	}
+	settings := rtsettings.Entry{
+		Common:  f.common(process),
+		Callers: process.Callers,
+		Longest: rtsettings.Duration(f.options.Longest),
+	}
+	process.metrics = "rhubarbtally_entry"
+	process.create = func(network *lifeline, metrics *rtmetric.Metrics) (runner, error) {
+		return rtentry.New(settings, rtentry.Dependencies{Network: network, Log: f.options.Log, Metrics: metrics})
+	}
+	f.Entries = append(f.Entries, process)
+	f.members = append(f.members, process.Member(""))
+	return nil
+}
