--- /dev/null
+++ b/cmd/rhubarbtally-fake/main_test.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
+)
+
+// launch runs the program until the test ends, and returns its address.
+func launch(t *testing.T, args ...string) rtid.Address {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	reader, writer := io.Pipe()
+	done := make(chan int, 1)
+	go func() { done <- run(ctx, args, writer, t.Output()) }()
+	t.Cleanup(func() {
+		cancel()
+		if status := <-done; status != exitDone {
+			t.Errorf("exit status %d", status)
+		}
+	})
+	line, err := bufio.NewReader(reader).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rtid.Address(strings.TrimSpace(line))
+}
+
+func writeFile(t *testing.T, name, content string) {
+	t.Helper()
+	if err := os.WriteFile(name, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against files whose changes are not published.
+func TestPlatform(t *testing.T) {
+	document := filepath.Join(t.TempDir(), "document")
+	vms := filepath.Join(t.TempDir(), "vms")
+	writeFile(t, document, "one")
+	writeFile(t, vms, `[{"vm":"vm-1"}]`)
+	address := launch(t, "-kind", "platform", "-document", document, "-vms", vms, "-version", "7")
+	client := &rtplatform.Client{HTTP: http.DefaultClient, Address: address}
+	if version, body, err := client.Watch(t.Context(), 0); version != 7 || string(body) != "one" || err != nil {
+		t.Errorf("got %d, %q, %v, want version 7", version, body, err)
+	}
+	writeFile(t, document, "two")
+	if version, body, err := client.Watch(t.Context(), 7); version != 8 || string(body) != "two" || err != nil {
+		t.Errorf("got %d, %q, %v, want version 8", version, body, err)
+	}
+	writeFile(t, vms, `[]`)
+	if version, members, err := client.VMs(t.Context(), 1); version != 2 || len(members) != 0 || err != nil {
+		t.Errorf("got %d, %v, %v, want an empty list", version, members, err)
+	}
+}
+
+// Guards against an engine process that does not step.
+func TestEngine(t *testing.T) {
+	client := rttarget.NewEngine(http.DefaultClient, launch(t, "-kind", "engine"))
+	stream, err := client.Generate(t.Context(), rttarget.GenerateRequest{ID: "a", Prompt: []byte("p"), Output: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stream.Close() }()
+	for chunk := (rttarget.Chunk{}); chunk.End != rttarget.EndDone; {
+		if chunk, err = stream.Next(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a usage error that looks like success.
+func TestUsage(t *testing.T) {
+	if got := run(t.Context(), []string{"-kind", "other"}, io.Discard, t.Output()); got != exitFailed {
+		t.Errorf("unknown kind: exit status %d, want %d", got, exitFailed)
+	}
+	if got := run(t.Context(), []string{"-other"}, io.Discard, t.Output()); got != exitUsage {
+		t.Errorf("unknown flag: exit status %d, want %d", got, exitUsage)
+	}
+}
