--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -71,6 +71,7 @@
 	engine   *rttarget.Engine  // nil beside a plain service
 	service  *rttarget.Service // nil beside an engine
 	wake     chan struct{}     // holds a value when the dispatcher has work
+	check    chan struct{}     // holds a value when the target must be checked at once
 	fenced   chan error        // holds the reason why a later agent owns the target
 	failed   chan error        // ends of listeners, nil after a planned stop
 
@@ -88,6 +89,7 @@
 	ready     bool
 	leaving   bool
 	down      bool       // the target does not answer
+	suspect   bool       // the target broke a call and has not been checked since
 	start     int64      // of the target, 0 before its first report
 	broken    time.Time  // last failure of the target
 	kept      rtid.Bytes // of all answers at the last tick
@@ -105,6 +107,7 @@
 		scrape:    dependencies.Metrics.Handler,
 		client:    client,
 		wake:      make(chan struct{}, 1),
+		check:     make(chan struct{}, 1),
 		fenced:    make(chan error, 1),
 		failed:    make(chan error, listeners),
 		ledger:    rtledger.New(rtledger.DefaultLimits, now),
--- a/internal/rtagent/dispatch.go
+++ b/internal/rtagent/dispatch.go
@@ -52,7 +52,11 @@
 
 // startNext starts one request if one may start.
 func (a *Agent) startNext(ctx context.Context, now time.Time) bool {
-	item, ok, refused := a.queue.Pop(now, a.warm.Now(), a.memory.Free())
+	limit := a.warm.Now()
+	if a.suspect {
+		limit = 0
+	}
+	item, ok, refused := a.queue.Pop(now, limit, a.memory.Free())
 	for i := range refused {
 		a.abandon(a.requests[refused[i].ID], rtwire.Reason_REASON_DEADLINE, "the time limit passed in the queue")
 	}
--- a/internal/rtagent/pace.go
+++ b/internal/rtagent/pace.go
@@ -13,8 +13,10 @@
 	// minRateWork is the shortest prefill that measures the rate; shorter ones
 	// measure the overhead of a call.
 	minRateWork = 100 * time.Millisecond
-	// rateSpan bounds how far one sample may be from the warm rate.
-	rateSpan = 20
+	// slowSpan and fastSpan bound how far one sample may be from the warm rate.
+	// Samples are too fast where the target has a prefix in its cache.
+	slowSpan = 20
+	fastSpan = 4
 )
 
 // pace is the measured speed of a target.
@@ -68,7 +70,7 @@
 		return
 	}
 	sample := float64(tokens) / measured.Seconds()
-	sample = min(max(sample, p.warm/rateSpan), p.warm*rateSpan)
+	sample = min(max(sample, p.warm/slowSpan), p.warm*fastSpan)
 	p.rate += paceWeight * (sample - p.rate)
 }
 
--- a/internal/rtagent/reconcile.go
+++ b/internal/rtagent/reconcile.go
@@ -50,10 +50,20 @@
 		return nil
 	}
 	a.setReady()
-	for sleep(ctx, reconcilePeriod) {
-		a.reconcile(ctx)
+	ticker := time.NewTicker(reconcilePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.check:
+		case <-ticker.C:
+			a.reconcile(ctx)
+			continue
+		}
+		// Apart from the periods, so that two sightings of a stream stay apart.
+		a.checkTarget(ctx)
 	}
-	return nil
 }
 
 func sleep(ctx context.Context, wait time.Duration) bool {
@@ -139,14 +149,7 @@
 
 // reconcile compares the target with the agent's own state.
 func (a *Agent) reconcile(ctx context.Context) {
-	load, err := a.targetLoad(ctx)
-	if err != nil {
-		a.setDown(true)
-		return
-	}
-	a.noticeRestart(load.Start)
-	a.setDown(false)
-	if a.engine == nil {
+	if !a.checkTarget(ctx) || a.engine == nil {
 		return
 	}
 	streams, err := a.streams(ctx)
@@ -160,12 +163,26 @@
 	}
 }
 
+// checkTarget reads the target's report and reports whether it answers.
+func (a *Agent) checkTarget(ctx context.Context) bool {
+	load, err := a.targetLoad(ctx)
+	if err == nil {
+		a.noticeRestart(load.Start)
+	}
+	if ctx.Err() == nil {
+		a.setDown(err != nil)
+	}
+	return err == nil
+}
+
 // setDown takes in whether the target answers. A target that does not answer
 // gets no new work, and waiting requests can still run elsewhere.
 func (a *Agent) setDown(down bool) {
 	a.mu.Lock()
 	changed := a.down != down
 	a.down = down
+	a.suspect = false
+	a.signal()
 	if down {
 		a.moveWarm(a.warm.Reset)
 		a.abandonWaiting(rtwire.Reason_REASON_TARGET, "the target does not answer")
--- a/internal/rtagent/target.go
+++ b/internal/rtagent/target.go
@@ -18,12 +18,24 @@
 		return rtwire.Reason_REASON_MEMORY
 	case status.Status == http.StatusConflict && status.Fence > a.node.Incarnation():
 		a.fence(status)
-	case status.Status >= http.StatusInternalServerError, status.Status == http.StatusTooManyRequests:
+	case overloaded(status.Status):
 		a.targetFailed(status)
 	}
 	return rtwire.Reason_REASON_TARGET
 }
 
+// overloaded reports whether a status says that the target cannot work now,
+// rather than that it cannot do what was asked.
+func overloaded(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusInternalServerError, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
 func (a *Agent) fence(status *rttarget.StatusError) {
 	a.mu.Lock()
 	a.leaving = true
@@ -35,12 +47,18 @@
 	}
 }
 
-// targetFailed takes in that the target broke a call.
+// targetFailed takes in that the target broke a call. Nothing more is sent to
+// it until a check has shown that it answers.
 func (a *Agent) targetFailed(err error) {
 	a.log.Info("target failed", "error", err.Error())
 	a.metrics.Counter("target_failures").Inc(1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.broken = time.Now()
+	a.suspect = true
 	a.moveWarm(a.warm.Reset)
+	select {
+	case a.check <- struct{}{}:
+	default:
+	}
 }
