Run prompts larger than one engine over several engines of a zone

Cause: the longest prompts exceed twice the memory of one engine. Ruled out: keeping a slot and memory here while members are busy, which lets two leaders wait for each other; renewals that create a hold, which hide that a member lost its memory. Measured: three prompts of 2.5 engines at once on three engines all finish; memory is free after death of the leader, a cut member, an engine restart. Conclusion: works in virtual time; not tried over real processes.

--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -83,6 +83,7 @@
 	pace      pace
 	pause     pause
 	requests  map[rtid.Request]*request // until their answers are gone
+	parked    map[rtid.Request]*request // wait for the next try to reserve memory elsewhere
 	held      map[rtid.Request]bool     // holds at the engine for groups led elsewhere
 	strangers map[rtid.Request]bool     // unknown at the engine in the last reconciliation
 	tasks     []*rttask.Task            // one a running request, owned by the dispatcher
@@ -117,6 +118,7 @@
 		pace:      newPace(settings.Rate),
 		pause:     pause{latest: now},
 		requests:  make(map[rtid.Request]*request),
+		parked:    make(map[rtid.Request]*request),
 		held:      make(map[rtid.Request]bool),
 		strangers: make(map[rtid.Request]bool),
 	}
--- a/internal/rtagent/calls.go
+++ b/internal/rtagent/calls.go
@@ -88,6 +88,9 @@
 	switch {
 	case record.State == rtledger.StateNotRun:
 		a.abandon(r, rtwire.Reason_REASON_CANCELLED, "cancelled before its start")
+		if r.cancel != nil {
+			r.cancel(errCancelled)
+		}
 	case record.State == rtledger.StateRunning && r.kind == rtwire.Kind_KIND_DRAFT:
 		a.settle(r, rtledger.Result{
 			State:  rtledger.StateFailed,
@@ -150,13 +153,3 @@
 		Result:  record.Body,
 	}
 }
-
-// Reserve holds KV memory for a prompt that another agent leads.
-func (c calls) Reserve(_ context.Context, _ *rtwire.ReserveRequest) (*rtwire.ReserveReply, error) {
-	return &rtwire.ReserveReply{Reason: rtwire.Reason_REASON_MEMORY}, nil
-}
-
-// Release frees a reservation.
-func (c calls) Release(_ context.Context, _ *rtwire.ReleaseRequest) (*rtwire.ReleaseReply, error) {
-	return &rtwire.ReleaseReply{}, nil
-}
--- a/internal/rtagent/dispatch.go
+++ b/internal/rtagent/dispatch.go
@@ -31,7 +31,8 @@
 	defer a.mu.Unlock()
 	a.noticePause(now)
 	a.expireAnswers(now)
-	a.memory.Expire(now)
+	a.expireHolds(now)
+	a.unpark(now)
 	for a.startNext(ctx, now) {
 		continue
 	}
@@ -88,10 +89,6 @@
 	id := r.item.ID
 	// The engine frees the memory of an expired request within cleanupTimeout.
 	a.memory.Reserve(id, r.item.Memory, r.item.Deadline.Add(cleanupTimeout))
-	if !a.ledger.Start(id) {
-		a.finishRun(r, rtledger.Result{State: rtledger.StateNotRun, Reason: rtwire.Reason_REASON_CANCELLED})
-		return
-	}
 	r.popped = now
 	for _, other := range a.requests {
 		if other.cancel != nil {
@@ -102,16 +99,23 @@
 	running, cancel := context.WithCancelCause(ctx)
 	r.cancel = cancel
 	a.tasks = append(a.tasks, rttask.Start(running, string(id), func(ctx context.Context) error {
-		result := rtledger.Result{State: rtledger.StateUnknown, Reason: rtwire.Reason_REASON_TARGET, Detail: "the run ended early"}
-		defer func() {
-			cancel(nil)
-			a.endRun(r, result)
-		}()
-		result = a.run(ctx, r)
+		defer cancel(nil)
+		if r.members > 0 {
+			a.executeGroup(ctx, r)
+		} else {
+			a.execute(ctx, r)
+		}
 		return nil
 	}))
 }
 
+// execute runs a request whose memory is reserved, to its end.
+func (a *Agent) execute(ctx context.Context, r *request) {
+	result := rtledger.Result{State: rtledger.StateUnknown, Reason: rtwire.Reason_REASON_TARGET, Detail: "the run ended early"}
+	defer func() { a.endRun(r, result) }()
+	result = a.run(ctx, r)
+}
+
 // run executes a request at the target, unless its dispatch was delayed.
 func (a *Agent) run(ctx context.Context, r *request) rtledger.Result {
 	now := time.Now()
@@ -121,12 +125,21 @@
 	if !now.Before(r.item.Deadline) {
 		return notRun(rtwire.Reason_REASON_DEADLINE, "the time limit passed before dispatch")
 	}
+	if !a.startInLedger(r) {
+		return notRun(rtwire.Reason_REASON_CANCELLED, "cancelled before its start")
+	}
 	if r.kind == rtwire.Kind_KIND_ORDER {
 		return a.runOrder(ctx, r)
 	}
 	return a.runDraft(ctx, r)
 }
 
+func (a *Agent) startInLedger(r *request) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Start(r.item.ID)
+}
+
 // endRun settles a request whose run has ended and frees what it used.
 func (a *Agent) endRun(r *request, result rtledger.Result) {
 	a.mu.Lock()
--- a/internal/rtagent/draft.go
+++ b/internal/rtagent/draft.go
@@ -21,6 +21,7 @@
 var (
 	errCancelled = errors.New("cancelled by the caller")
 	errRestarted = errors.New("the engine has restarted")
+	errLease     = errors.New("memory at another engine was lost")
 	errStopped   = errors.New("the agent has reached its drain limit")
 )
 
@@ -51,7 +52,7 @@
 		Prefix:   r.prefix,
 		Output:   r.output,
 		Priority: int(r.item.Class),
-		Remote:   r.remote,
+		Remote:   r.share * rtid.Tokens(r.members),
 		Fence:    a.node.Incarnation(),
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/rtagent/group_test.go
@@ -0,0 +1,206 @@
+package rtagent
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+// group starts engines with 1000 tokens of memory each, and their agents,
+// which know one another.
+func (w *world) group(count int, step time.Duration) ([]*rtfake.Engine, []*running) {
+	w.t.Helper()
+	var engines []*rtfake.Engine
+	var agents []*running
+	var views []rtnode.View
+	for host := 1; host <= count; host++ {
+		engines = append(engines, w.engine(host, rtfake.EngineConfig{Memory: 1000, Warm: true, Step: step}))
+		chosen := settings(host)
+		chosen.Memory = 1000
+		agents = append(agents, w.agent(chosen))
+		views = append(views, rtnode.View{Target: chosen.Target, Service: chosen.Service, Zone: "a", Address: chosen.Peers})
+	}
+	for _, agent := range agents {
+		agent.node.targets = views
+	}
+	return engines, agents
+}
+
+// large returns an offer of a prompt that needs 2.5 engines.
+func large(agent *running, name string, output int64, limit time.Duration) *rtwire.OfferRequest {
+	return agent.draft(strings.Repeat(name[:1], 4*(2500-int(output))), output, limit)
+}
+
+func wantFree(t *testing.T, engines []*rtfake.Engine, agents []*running) {
+	t.Helper()
+	for i, engine := range engines {
+		if stats := engine.Stats(); stats.Used != 0 {
+			t.Errorf("engine %d still uses %d tokens", i+1, stats.Used)
+		}
+		if used := agents[i].load().Used; used != 0 {
+			t.Errorf("agent %d still counts %d tokens", i+1, used)
+		}
+	}
+}
+
+// Guards against a large prompt that takes more engines than it needs, uses
+// memory it did not reserve, or leaves holds behind.
+func TestLargePrompt(t *testing.T) {
+	inWorld(t, func(w *world) {
+		engines, agents := w.group(4, 2*time.Millisecond)
+		offer := large(agents[1], "x", 400, time.Minute)
+		agents[1].accept(offer)
+		<-time.After(500 * time.Millisecond)
+		var used []rtid.Tokens
+		for _, engine := range engines {
+			used = append(used, engine.Stats().Used)
+		}
+		if got := fmt.Sprint(used); got != "[833 834 833 0]" {
+			t.Errorf("engines use %s", got)
+		}
+		if text := agents[1].want(offer.Request, doneOutcome, noReason); text != rtfake.Answer(offer.Body, 400) {
+			t.Error("the answer is not that of the prompt")
+		}
+		<-time.After(time.Second)
+		wantFree(t, engines, agents)
+		tooLarge := agents[0].draft(strings.Repeat("x", 4*4000), 100, time.Minute)
+		agents[0].send(tooLarge, notRunOutcome, rtwire.Reason_REASON_MEMORY)
+	})
+}
+
+// Guards against one dead member that keeps all large prompts of its zone from
+// running although there are enough others.
+func TestLargePromptBesideDeadMember(t *testing.T) {
+	inWorld(t, func(w *world) {
+		_, agents := w.group(4, 2*time.Millisecond)
+		w.network.Isolate("10.0.0.1")
+		offer := large(agents[1], "x", 400, 20*time.Second)
+		agents[1].accept(offer)
+		agents[1].want(offer.Request, doneOutcome, noReason)
+		w.network.Rejoin("10.0.0.1")
+	})
+}
+
+// Guards against two large prompts that hold half each and wait for each
+// other for ever.
+func TestLargePromptsRace(t *testing.T) {
+	inWorld(t, func(w *world) {
+		engines, agents := w.group(3, 2*time.Millisecond)
+		var offers []*rtwire.OfferRequest
+		for i, agent := range agents {
+			offer := large(agent, string(rune('a'+i)), 1000, time.Minute)
+			agent.accept(offer)
+			offers = append(offers, offer)
+		}
+		hopeless := large(agents[0], "d", 1000, time.Second)
+		agents[0].accept(hopeless)
+		_, final, err := agents[0].read(hopeless.Request, 0)
+		if err != nil || final.Reason != late {
+			t.Errorf("end of the hopeless prompt: %v, %v", final, err)
+		}
+		for i, offer := range offers {
+			agents[i].want(offer.Request, doneOutcome, noReason)
+		}
+		<-time.After(time.Second)
+		wantFree(t, engines, agents)
+	})
+}
+
+// Guards against memory that stays held when the leader dies, and against a
+// generation that goes on when a member has lost its memory.
+func TestGroupFailures(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(*world, []*rtfake.Engine, []*running)
+		ends  bool // the leader answers
+	}{
+		{"leader dies", func(w *world, _ []*rtfake.Engine, _ []*running) { w.network.Isolate("10.0.0.2") }, false},
+		{"member is cut off", func(w *world, _ []*rtfake.Engine, _ []*running) { w.network.Isolate("10.0.0.1") }, true},
+		{"engine of a member restarts", func(_ *world, engines []*rtfake.Engine, _ []*running) { engines[0].Crash() }, true},
+		{"leader is cancelled", func(w *world, _ []*rtfake.Engine, agents []*running) {
+			for id := range agents[1].requests {
+				_, err := agents[1].target.Cancel(w.t.Context(), &rtwire.CancelRequest{Request: string(id), Organisation: string(court)})
+				if err != nil {
+					w.t.Error(err)
+				}
+			}
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				engines, agents := w.group(3, 10*time.Millisecond)
+				offer := large(agents[1], "x", 900, time.Minute)
+				agents[1].accept(offer)
+				<-time.After(500 * time.Millisecond)
+				test.fault(w, engines, agents)
+				<-time.After(groupLease + 2*reconcilePeriod)
+				for _, i := range []int{0, 2} {
+					if used := engines[i].Stats().Used; used != 0 {
+						t.Errorf("engine %d still uses %d tokens", i+1, used)
+					}
+				}
+				if test.ends {
+					agents[1].wantFailed(offer.Request)
+				}
+				w.network.Rejoin("10.0.0.1")
+				w.network.Rejoin("10.0.0.2")
+			})
+		})
+	}
+}
+
+// wantFailed checks that a draft failed after its start.
+func (r *running) wantFailed(request string) {
+	r.w.t.Helper()
+	_, final, err := r.read(request, 0)
+	if err != nil || final.Outcome != failedOutcome {
+		r.w.t.Errorf("end: %v, %v, want failed", final, err)
+	}
+}
+
+// Guards against renewals that create a hold, and against reservations beyond
+// the memory of the engine.
+func TestReserveCalls(t *testing.T) {
+	inWorld(t, func(w *world) {
+		engines, agents := w.group(1, 2*time.Millisecond)
+		group := agents[0].draft("", 1, time.Minute).Request
+		tests := []struct {
+			group   string
+			tokens  int64
+			lease   time.Duration
+			granted bool
+			used    rtid.Tokens
+		}{
+			{group, 0, time.Second, false, 0},
+			{group, 1001, time.Second, false, 0},
+			{group, -1, time.Second, false, 0},
+			{group, 600, 0, false, 0},
+			{"not an id", 600, time.Second, false, 0},
+			{group, 600, time.Hour, true, 600},
+			{group, 600, time.Second, true, 600},
+			{group, 0, time.Second, true, 600},
+			{agents[0].draft("", 1, time.Minute).Request, 401, time.Second, false, 600},
+		}
+		for _, test := range tests {
+			reply, err := agents[0].target.Reserve(w.t.Context(), &rtwire.ReserveRequest{
+				Group:  test.group,
+				Tokens: test.tokens,
+				Lease:  durationpb.New(test.lease),
+			})
+			if err != nil || reply.Granted != test.granted || engines[0].Stats().Used != test.used {
+				t.Errorf("reserve %d for %v: %v, %v, %d used", test.tokens, test.lease, reply, err, engines[0].Stats().Used)
+			}
+		}
+		<-time.After(2 * time.Second)
+		wantFree(t, engines, agents)
+	})
+}
--- a/internal/rtagent/offer.go
+++ b/internal/rtagent/offer.go
@@ -31,6 +31,7 @@
 	document     *rtdocument.Document // nil before one is known
 	organisation *rtdocument.Organisation
 	service      *rtdocument.Service
+	peers        int // other engines of the zone, counted only if the prompt needs them
 }
 
 // refusal ends the way of an offer.
@@ -73,6 +74,9 @@
 		seen.organisation = seen.document.Organisation(rtid.Organisation(message.Organisation))
 		seen.service = seen.document.Service(a.settings.Service)
 	}
+	if promptTokens(message)+rtid.Tokens(message.Output) > a.settings.Memory {
+		seen.peers = len(a.candidates())
+	}
 	return seen
 }
 
@@ -151,14 +155,14 @@
 		model:   seen.service.Model,
 		prefix:  message.Prefix,
 		output:  rtid.Tokens(message.Output),
-		remote:  max(0, o.item.Memory-a.memory.Total()),
 		buffer:  rtanswer.NewBuffer(o.item.ID, rtid.Attempt(message.Attempt), rtanswer.MaxSize),
 		body:    message.Body,
 	}
+	a.planGroup(r)
 	// The prefix has passed checkShape, so it fits.
 	_ = r.buffer.Append(r.prefix)
 	wait := a.predictWait(&o.item, o.now)
-	if !a.queue.Push(o.item) {
+	if !a.queue.Push(r.item) {
 		return a.tombstone(o, refuse(rtwire.Reason_REASON_QUEUE, "the queue is full"))
 	}
 	a.requests[o.item.ID] = r
--- a/internal/rtagent/reconcile.go
+++ b/internal/rtagent/reconcile.go
@@ -214,6 +214,11 @@
 	if a.engine == nil {
 		return
 	}
+	for group := range a.held {
+		// The leader learns it when it renews.
+		a.memory.Release(group)
+		delete(a.held, group)
+	}
 	for _, r := range a.requests {
 		if r.cancel == nil || r.popped.After(before) {
 			continue
--- a/internal/rtagent/request.go
+++ b/internal/rtagent/request.go
@@ -19,7 +19,8 @@
 	model   rtid.Model
 	prefix  []byte      // part of the answer that exists already
 	output  rtid.Tokens // most tokens of the answer
-	remote  rtid.Tokens // KV memory beyond this engine; 0 for most prompts
+	share   rtid.Tokens // KV memory at each other engine; 0 for most prompts
+	members int         // other engines that the prompt needs
 	buffer  *rtanswer.Buffer
 
 	// The rest is guarded by Agent.mu.
@@ -27,6 +28,9 @@
 	cancel  context.CancelCauseFunc // nil unless the request runs
 	popped  time.Time               // when it left the queue
 	ahead   rtid.Tokens             // prefill tokens that ran when it started, and that started since
+	gather  int                     // tries to reserve memory at the members
+	retry   time.Time               // of the next try, while parked
+	silent  map[rtid.Target]bool    // gave no reply in the last try; used by the run only
 	settled bool
 	read    bool // a reader has got the whole answer, so a stop need not wait for it
 }
--- a/internal/rtagent/run.go
+++ b/internal/rtagent/run.go
@@ -116,6 +116,9 @@
 func (a *Agent) idle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if len(a.held) > 0 {
+		return false
+	}
 	for _, r := range a.requests {
 		if !r.settled || r.cancel != nil || !r.read {
 			return false
--- a/internal/rtagent/stages.go
+++ b/internal/rtagent/stages.go
@@ -90,13 +90,18 @@
 		item.Weight = seen.organisation.ShareOf(a.settings.Service)
 	}
 	if message.Kind == rtwire.Kind_KIND_DRAFT {
-		item.Tokens = max(rtid.Tokens(message.Tokens), rtid.EstimateTokens(rtid.Bytes(len(message.Body))))
+		item.Tokens = promptTokens(message)
 		item.Class = rtid.ClassOf(item.Tokens)
 		item.Memory = item.Tokens + rtid.Tokens(message.Output)
 	}
 	return item
 }
 
+// promptTokens returns the tokens of a prompt, at least what its size says.
+func promptTokens(message *rtwire.OfferRequest) rtid.Tokens {
+	return max(rtid.Tokens(message.Tokens), rtid.EstimateTokens(rtid.Bytes(len(message.Body))))
+}
+
 // checkIncarnation refuses what is meant for another start of this process.
 // What an order did there is not known here.
 func (a *Agent) checkIncarnation(o *offer, seen *view) *refusal {
@@ -178,12 +183,14 @@
 // checkMemory refuses prompts that can never fit. The memory itself is
 // reserved when the request leaves the queue, because a waiting prompt uses
 // none and would keep shorter ones from running.
-func (a *Agent) checkMemory(o *offer, _ *view) *refusal {
+func (a *Agent) checkMemory(o *offer, seen *view) *refusal {
 	if a.kept > maxAnswers {
 		return refuse(rtwire.Reason_REASON_QUEUE, "too many answers wait for their readers")
 	}
-	if o.item.Memory > a.memory.Total() {
-		return refuse(rtwire.Reason_REASON_MEMORY, "the prompt needs %d tokens of memory, the engine has %d", o.item.Memory, a.memory.Total())
+	engines := a.enginesFor(o.item.Memory)
+	if engines > 1+seen.peers || rtid.Tokens(o.message.Output) > a.memory.Total() {
+		return refuse(rtwire.Reason_REASON_MEMORY, "the prompt needs %d tokens of memory, %d engines of the zone have %d each",
+			o.item.Memory, 1+seen.peers, a.memory.Total())
 	}
 	return nil
 }
--- a/internal/rtmemory/account.go
+++ b/internal/rtmemory/account.go
@@ -43,11 +43,23 @@
 	return a.reserve(id, reservation{tokens: tokens, expiry: expiry})
 }
 
-// Lease holds memory for a part of a group until now + lease, or renews it.
+// Lease holds memory for a part of a group until now + lease.
 func (a *Account) Lease(group rtid.Request, tokens rtid.Tokens, lease time.Duration, now time.Time) bool {
 	return a.reserve(group, reservation{tokens: tokens, expiry: now.Add(lease), group: true})
 }
 
+// Renew extends the lease of a group. It reports false if the group holds
+// nothing, because its memory may have been given to others meanwhile.
+func (a *Account) Renew(group rtid.Request, lease time.Duration, now time.Time) bool {
+	held, ok := a.reservations[group]
+	if !ok || !held.group || !now.Before(held.expiry) {
+		return false
+	}
+	held.expiry = now.Add(lease)
+	a.reservations[group] = held
+	return true
+}
+
 func (a *Account) reserve(id rtid.Request, wanted reservation) bool {
 	held := a.reservations[id]
 	if wanted.tokens < 0 || wanted.tokens > a.Free()+held.tokens {
@@ -90,9 +102,3 @@
 	}
 	return groups
 }
-
-// Reset frees everything, after the engine has restarted.
-func (a *Account) Reset() {
-	clear(a.reservations)
-	a.used = 0
-}
--- a/internal/rtmemory/account_test.go
+++ b/internal/rtmemory/account_test.go
@@ -45,10 +45,15 @@
 	account := New(100)
 	account.Lease("group", 60, 2*time.Second, start)
 	account.Reserve("request", 10, start.Add(time.Second))
-	account.Lease("group", 60, 2*time.Second, start.Add(time.Second))
+	if !account.Renew("group", 2*time.Second, start.Add(time.Second)) || account.Renew("request", time.Hour, start) {
+		t.Error("a lease was not renewed, or something else was")
+	}
 	if gone := account.Expire(start.Add(2 * time.Second)); len(gone) != 0 || account.Used() != 60 {
 		t.Errorf("after 2 s: %v ended, %d used, want the renewed group only", gone, account.Used())
 	}
+	if account.Renew("group", time.Second, start.Add(3*time.Second)) {
+		t.Error("a lease was renewed after its end")
+	}
 	gone := account.Expire(start.Add(3 * time.Second))
 	if len(gone) != 1 || gone[0] != "group" || account.Used() != 0 {
 		t.Errorf("after 3 s: %v ended, %d used", gone, account.Used())
--- a/internal/rtqueue/queue.go
+++ b/internal/rtqueue/queue.go
@@ -63,6 +63,17 @@
 	items list.List // of *entry
 }
 
+// insert puts a request behind the older ones. A request that comes back to
+// the queue is older than others that wait.
+func (f *flow) insert(added *entry) *list.Element {
+	for element := f.items.Back(); element != nil; element = element.Prev() {
+		if !added.Arrived.Before(element.Value.(*entry).Arrived) {
+			return f.items.InsertAfter(added, element)
+		}
+	}
+	return f.items.PushFront(added)
+}
+
 func (f *flow) head() *entry {
 	return f.items.Front().Value.(*entry)
 }
@@ -143,7 +154,7 @@
 		q.flows[key] = target
 	}
 	added := &entry{Item: item, flow: target}
-	added.element = target.items.PushBack(added)
+	added.element = target.insert(added)
 	q.entries[item.ID] = added
 	heap.Push(&q.deadlines, added)
 	q.count(&item, 1)
