Make three tests of the agent catch what they guard against

Cause: 3 of 24 mutations of the agent passed its tests: freeing a stream at first sighting, not noticing a cold target while it answers, running a large prompt without all members. Change: latency between the hosts of a group, answers that outlast the turn to cold, a check between two sightings.

--- a/internal/rtagent/group_test.go
+++ b/internal/rtagent/group_test.go
@@ -18,6 +18,12 @@
 // which know one another.
 func (w *world) group(count int, step time.Duration) ([]*rtfake.Engine, []*running) {
 	w.t.Helper()
+	w.network.Default = func(from, to string) rtfake.Latency {
+		if from == to {
+			return rtfake.Latency{}
+		}
+		return rtfake.Latency{Base: time.Millisecond}
+	}
 	var engines []*rtfake.Engine
 	var agents []*running
 	var views []rtnode.View
@@ -95,10 +101,29 @@
 	inWorld(t, func(w *world) {
 		engines, agents := w.group(3, 2*time.Millisecond)
 		var offers []*rtwire.OfferRequest
+		accepted := make(chan error)
 		for i, agent := range agents {
 			offer := large(agent, string(rune('a'+i)), 1000, time.Minute)
-			agent.accept(offer)
 			offers = append(offers, offer)
+			go func() {
+				_, err := agent.target.Offer(w.t.Context(), offer)
+				accepted <- err
+			}()
+		}
+		for range offers {
+			if err := <-accepted; err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range 100 {
+			streams := 0
+			for _, engine := range engines {
+				streams += engine.Stats().Streams
+			}
+			if streams > 1 {
+				t.Fatalf("%d prompts run in the memory for one", streams)
+			}
+			<-time.After(10 * time.Millisecond)
 		}
 		hopeless := large(agents[0], "d", 1000, time.Second)
 		agents[0].accept(hopeless)
--- a/internal/rtagent/restart_test.go
+++ b/internal/rtagent/restart_test.go
@@ -52,19 +52,23 @@
 }
 
 // Guards against an engine that turned cold without a restart and fails under
-// the load of a warm one.
+// the load of a warm one. Its answers are too long to end before that.
 func TestTurnCold(t *testing.T) {
 	inWorld(t, func(w *world) {
 		engine := w.engine(1, rtfake.EngineConfig{Warm: true})
 		agent := w.agent(settings(1))
-		stop := time.Now().Add(14 * time.Second)
-		for i := 0; time.Now().Before(stop); i++ {
+		agent.set(func() {
+			for agent.warm.Cold() {
+				agent.warm.Complete(0)
+			}
+		})
+		for i := range 100 {
 			// The cold engine is too slow for all of them, so some are refused.
-			if _, err := agent.target.Offer(w.t.Context(), agent.draft(fmt.Sprint("prompt", i), 200, time.Minute)); err != nil {
+			if _, err := agent.target.Offer(w.t.Context(), agent.draft(fmt.Sprint("prompt", i), 1000, time.Minute)); err != nil {
 				t.Fatal(err)
 			}
-			<-time.After(40 * time.Millisecond)
-			if i == 200 {
+			<-time.After(150 * time.Millisecond)
+			if i == 40 {
 				engine.TurnCold()
 			}
 		}
@@ -166,9 +170,12 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = stream.Close() }()
-		<-time.After(2*reconcilePeriod + 100*time.Millisecond)
-		if streams := engine.Stats().Streams; streams != 1 {
-			t.Errorf("%d streams after two periods, want the known one", streams)
+		<-time.After(100 * time.Millisecond)
+		for periods, want := range []int{2, 2, 1} {
+			if streams := engine.Stats().Streams; streams != want {
+				t.Errorf("%d streams after %d periods, want %d", streams, periods, want)
+			}
+			<-time.After(reconcilePeriod)
 		}
 		agent.want(kept.Request, doneOutcome, noReason)
 		if executions := engine.Executions(rtid.Request(kept.Request)); executions != 1 {
