Add fault matrix over the fleet in virtual time

Cause: no invariant had been checked under failure. Change: 25 faults at 6 steps of the path, with the real entry and agent over an in-memory network; one checker for all cells; callers resume and repeat as real ones do.

--- a/internal/rtdemo/demo.go
+++ b/internal/rtdemo/demo.go
@@ -46,7 +46,7 @@
 	fleet    *rtfleet.Fleet
 	document rtdocument.Document // last published
 	client   *http.Client
-	caller   caller // of the first entry
+	caller   rtfleet.Caller // of the first entry
 }
 
 // Run runs the demo and describes on out what it sees. It returns an error
@@ -63,7 +63,7 @@
 		return errors.Join(err, fleet.Close())
 	}
 	d := &demo{out: out, fleet: fleet, document: document, client: &http.Client{}}
-	d.caller = caller{client: d.client, entry: fleet.Entries[0].Callers, organisation: "high-court"}
+	d.caller = rtfleet.Caller{Client: d.client, Entry: fleet.Entries[0].Callers, Organisation: "high-court"}
 	err = d.steps(ctx)
 	d.client.CloseIdleConnections()
 	return errors.Join(err, fleet.Close())
@@ -128,9 +128,9 @@
 func (d *demo) statuses(ctx context.Context) ([]processStatus, error) {
 	var statuses []processStatus
 	for _, process := range append(d.fleet.Entries, d.fleet.Agents...) {
-		operator := caller{client: d.client, entry: process.Operators}
+		operator := rtfleet.Caller{Client: d.client, Entry: process.Operators}
 		var status processStatus
-		if err := operator.call(ctx, http.MethodGet, "/status", nil, &status); err != nil {
+		if err := operator.Call(ctx, http.MethodGet, "/status", nil, &status); err != nil {
 			return nil, fmt.Errorf("%s: %w", process.VM, err)
 		}
 		statuses = append(statuses, status)
@@ -174,12 +174,12 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for {
-		result, err := d.caller.draft(ctx, shortDraft("first"))
-		if err != nil || result.outcome == rtapi.Done {
+		result, err := d.caller.Draft(ctx, shortDraft("first"), nil)
+		if err != nil || result.Outcome == rtapi.Done {
 			return err
 		}
 		if err := pause(ctx); err != nil {
-			return fmt.Errorf("outcome %s, reason %s: %w", result.outcome, result.reason, err)
+			return fmt.Errorf("outcome %s, reason %s: %w", result.Outcome, result.Reason, err)
 		}
 	}
 }
@@ -218,9 +218,9 @@
 // dump prints the state of one agent.
 func (d *demo) dump(ctx context.Context) error {
 	agent := d.fleet.Agents[0]
-	operator := caller{client: d.client, entry: agent.Operators}
+	operator := rtfleet.Caller{Client: d.client, Entry: agent.Operators}
 	var state map[string]any
-	if err := operator.call(ctx, http.MethodGet, "/dump", nil, &state); err != nil {
+	if err := operator.Call(ctx, http.MethodGet, "/dump", nil, &state); err != nil {
 		return err
 	}
 	text, err := json.MarshalIndent(state, "   ", "  ")
--- a/internal/rtdemo/steps.go
+++ b/internal/rtdemo/steps.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfleet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
@@ -19,14 +20,14 @@
 		name string
 		size int
 	}{{"long", longSize}, {"short", shortSize}}
-	results := make([]draftResult, len(sizes))
+	results := make([]rtfleet.Draft, len(sizes))
 	tasks := make([]*rttask.Task, len(sizes))
 	for i, s := range sizes {
 		tasks[i] = rttask.Start(ctx, s.name, func(ctx context.Context) error {
 			var err error
-			results[i], err = d.caller.draft(ctx, rtapi.DraftRequest{
+			results[i], err = d.caller.Draft(ctx, rtapi.DraftRequest{
 				Service: "drafts", Prompt: prompt(s.name, s.size), Output: output, Limit: longest.String(),
-			})
+			}, nil)
 			return err
 		})
 	}
@@ -35,11 +36,11 @@
 			return err
 		}
 		result := results[i]
-		if err := expect(result.outcome, rtapi.Done, result.reason); err != nil {
+		if err := expect(result.Outcome, rtapi.Done, result.Reason); err != nil {
 			return err
 		}
 		d.printf("   %-5s prompt of %7d tokens: first token after %4d ms, whole answer of %d bytes after %4d ms\n",
-			s.name, rtid.EstimateTokens(rtid.Bytes(s.size)), result.first.Milliseconds(), result.size, result.whole.Milliseconds())
+			s.name, rtid.EstimateTokens(rtid.Bytes(s.size)), result.First.Milliseconds(), len(result.Text), result.Whole.Milliseconds())
 	}
 	return nil
 }
@@ -47,14 +48,14 @@
 // orderTwice sends one order through two entries.
 func (d *demo) orderTwice(ctx context.Context) error {
 	var created rtapi.OrderID
-	if err := d.caller.call(ctx, http.MethodPost, "/v1/orders", []byte(`{"service":"filings"}`), &created); err != nil {
+	if err := d.caller.Call(ctx, http.MethodPost, "/v1/orders", []byte(`{"service":"filings"}`), &created); err != nil {
 		return err
 	}
 	for _, entry := range d.fleet.Entries[:2] {
-		sender := caller{client: d.client, entry: entry.Callers, organisation: d.caller.organisation}
+		sender := rtfleet.Caller{Client: d.client, Entry: entry.Callers, Organisation: d.caller.Organisation}
 		var status rtapi.Status
 		path := "/v1/orders/" + created.ID + "?limit=5s"
-		if err := sender.call(ctx, http.MethodPut, path, []byte("file draft 7 with the registry"), &status); err != nil {
+		if err := sender.Call(ctx, http.MethodPut, path, []byte("file draft 7 with the registry"), &status); err != nil {
 			return err
 		}
 		if err := expect(status.Outcome, rtapi.Done, status.Reason); err != nil {
@@ -76,19 +77,19 @@
 // refuse sends a request that cannot be answered in its time limit.
 func (d *demo) refuse(ctx context.Context) error {
 	before := d.generations()
-	result, err := d.caller.draft(ctx, rtapi.DraftRequest{
+	result, err := d.caller.Draft(ctx, rtapi.DraftRequest{
 		Service: "drafts", Prompt: prompt("late", lateSize), Output: output, Limit: tooShort,
-	})
+	}, nil)
 	if err != nil {
 		return err
 	}
-	if err := expect(result.outcome, rtapi.NotRun, result.reason); err != nil {
+	if err := expect(result.Outcome, rtapi.NotRun, result.Reason); err != nil {
 		return err
 	}
 	if after := d.generations(); after != before {
 		return fmt.Errorf("engines started %d generations for a request that was refused as not run", after-before)
 	}
-	d.printf("   outcome %s, reason %s; no engine started it\n", result.outcome, result.reason)
+	d.printf("   outcome %s, reason %s; no engine started it\n", result.Outcome, result.Reason)
 	return nil
 }
 
@@ -145,14 +146,14 @@
 func (d *demo) sendShort(ctx context.Context, count int) ([]rtid.Target, error) {
 	var targets []rtid.Target
 	for i := range count {
-		result, err := d.caller.draft(ctx, shortDraft(fmt.Sprint("tweak ", i)))
+		result, err := d.caller.Draft(ctx, shortDraft(fmt.Sprint("tweak ", i)), nil)
 		if err != nil {
 			return nil, err
 		}
-		if err := expect(result.outcome, rtapi.Done, result.reason); err != nil {
+		if err := expect(result.Outcome, rtapi.Done, result.Reason); err != nil {
 			return nil, err
 		}
-		home, err := rtid.ParseRequest(rtid.Request(result.id))
+		home, err := rtid.ParseRequest(rtid.Request(result.ID))
 		if err != nil {
 			return nil, fmt.Errorf("id of a draft: %w", err)
 		}
--- /dev/null
+++ b/internal/rtfleet/cell_test.go
@@ -0,0 +1,274 @@
+package rtfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
+	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
+)
+
+// Figures of a cell. The fault lasts longer than three heartbeat intervals and
+// longer than the pause after which an agent drops what it had not dispatched.
+const (
+	cellLimit   = 8 * time.Second // time limit of the requests
+	faultLength = 4 * time.Second
+	settleTime  = 10 * time.Second // until leases, expiries and reconciliation are over
+	linkDelay   = 2 * time.Millisecond
+	outputLimit = 20
+	promptSize  = 128 << 10 // bytes, 32k tokens: 4 steps of prefill
+)
+
+// cell is one fault at one step of the path.
+type cell struct {
+	t      *testing.T
+	ctx    context.Context
+	fleet  *Fleet
+	fabric *rtfake.Network
+	client *http.Client
+
+	document rtdocument.Document // last published
+	version  rtid.Version        // last published
+
+	mu     sync.Mutex
+	drafts []*draftRun
+	orders []*orderRun
+	tasks  []*rttask.Task
+}
+
+// draftRun is one draft and what its caller saw.
+type draftRun struct {
+	prompt  []byte
+	seen    Draft
+	err     error // of the last stream
+	sent    time.Time
+	ended   time.Time
+	resumed bool
+}
+
+// orderRun is one order and what its caller saw.
+type orderRun struct {
+	id      rtid.Request
+	replies []rtapi.Status
+	sent    time.Time
+	ended   time.Time
+}
+
+// newTestFleet starts a fleet on an in-memory network with one entry, one
+// engine and one plain service in each availability zone.
+func newTestFleet(t *testing.T) (*Fleet, *rtfake.Network) {
+	t.Helper()
+	fabric := &rtfake.Network{Seed: 1, Default: func(string, string) rtfake.Latency {
+		return rtfake.Latency{Base: linkDelay, Jitter: linkDelay / 2}
+	}}
+	fleet, err := New(t.Context(), Options{
+		Space:    &Memory{Fabric: fabric},
+		Document: testDocument(),
+		Entries:  1, Engines: 1, Plain: 1,
+		Engine:  rtfake.EngineConfig{Step: 20 * time.Millisecond, Prefill: 8192},
+		Service: rtfake.ServiceConfig{Duration: 300 * time.Millisecond},
+		Agent:   testAgent,
+		Drain:   2 * cellLimit,
+		Longest: cellLimit,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fleet, fabric
+}
+
+// runCell runs body in a bubble of virtual time with a fleet that serves, and
+// checks all invariants at the end.
+func runCell(t *testing.T, body func(*cell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet, fabric := newTestFleet(t)
+		c := &cell{
+			t: t, ctx: t.Context(), fleet: fleet, fabric: fabric, client: rtnet.Client(fabric),
+			document: testDocument(), version: 1,
+		}
+		defer c.close()
+		c.until("the fleet serves", c.serves)
+		body(c)
+		c.finish()
+		c.wait(settleTime)
+		c.checkInvariants()
+	})
+}
+
+// close ends the fleet. A failed check must not leave goroutines behind,
+// because the bubble waits for all of them.
+func (c *cell) close() {
+	c.finish()
+	c.client.CloseIdleConnections()
+	if err := c.fleet.Close(); err != nil {
+		c.t.Logf("close: %v", err)
+	}
+	c.fabric.Close()
+}
+
+// wait lets virtual time pass.
+func (c *cell) wait(duration time.Duration) {
+	<-time.After(duration)
+}
+
+// until waits for a condition.
+func (c *cell) until(name string, condition func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(cellLimit); !condition(); c.wait(time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("did not happen within %v: %s", cellLimit, name)
+		}
+	}
+}
+
+// caller returns the caller of the entry of an availability zone.
+func (c *cell) caller(zone int) Caller {
+	return Caller{Client: c.client, Entry: c.fleet.Entries[zone].Callers, Organisation: "high-court"}
+}
+
+// serves reports whether every entry accepts a short draft and issues order
+// ids.
+func (c *cell) serves() bool {
+	for zone := range c.fleet.Entries {
+		if _, err := c.create(zone); err != nil {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, cellLimit)
+		request := rtapi.DraftRequest{Service: "drafts", Prompt: "warm up", Output: 1, Limit: "5s"}
+		draft, err := c.caller(zone).Draft(ctx, request, nil)
+		cancel()
+		if err != nil || draft.Outcome != rtapi.Done {
+			return false
+		}
+	}
+	return true
+}
+
+// start runs f until the end of the cell.
+func (c *cell) start(name string, f func(context.Context) error) {
+	c.tasks = append(c.tasks, rttask.Start(c.ctx, name, f))
+}
+
+// draft sends a draft through the entry of the first availability zone. When
+// the stream breaks, the caller resumes through the other entries.
+func (c *cell) draft(name string) *draftRun {
+	prompt := make([]byte, promptSize)
+	copy(prompt, name)
+	for i := len(name); i < len(prompt); i++ {
+		prompt[i] = 'x'
+	}
+	run := &draftRun{prompt: prompt, sent: time.Now()}
+	c.drafts = append(c.drafts, run)
+	c.start(name, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, cellLimit+time.Second)
+		defer cancel()
+		see := func(draft Draft) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			run.seen = draft
+		}
+		request := rtapi.DraftRequest{Service: "drafts", Prompt: string(prompt), Output: outputLimit, Limit: cellLimit.String()}
+		draft, err := c.caller(0).Draft(ctx, request, see)
+		for zone := 1; !draft.Ended && draft.ID != "" && ctx.Err() == nil; zone++ {
+			run.resumed = true
+			c.wait(100 * time.Millisecond)
+			draft, err = c.caller(zone%len(c.fleet.Entries)).Resume(ctx, draft, see)
+		}
+		see(draft)
+		run.err = err
+		run.ended = time.Now()
+		return nil
+	})
+	return run
+}
+
+// issue obtains an order id.
+func (c *cell) issue() *orderRun {
+	c.t.Helper()
+	id, err := c.create(0)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	run := &orderRun{id: id}
+	c.orders = append(c.orders, run)
+	return run
+}
+
+// create asks the entry of an availability zone for an order id.
+func (c *cell) create(zone int) (rtid.Request, error) {
+	var created rtapi.OrderID
+	err := c.caller(zone).Call(c.ctx, http.MethodPost, "/v1/orders", []byte(`{"service":"filings"}`), &created)
+	if err == nil && created.ID == "" {
+		err = errors.New("no order id was issued")
+	}
+	return rtid.Request(created.ID), err
+}
+
+// put sends the order through the entry of an availability zone, and again
+// through the next ones until one answers.
+func (c *cell) put(run *orderRun, zone int) {
+	if run.sent.IsZero() {
+		run.sent = time.Now()
+	}
+	c.start("order", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, cellLimit+time.Second)
+		defer cancel()
+		for ; ctx.Err() == nil; zone++ {
+			status, err := c.order(ctx, run, zone, http.MethodPut)
+			if err == nil {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				run.replies = append(run.replies, status)
+				run.ended = time.Now()
+				return nil
+			}
+			c.wait(100 * time.Millisecond)
+		}
+		return nil
+	})
+}
+
+// order calls the route of an order.
+func (c *cell) order(ctx context.Context, run *orderRun, zone int, method string) (rtapi.Status, error) {
+	var status rtapi.Status
+	path := fmt.Sprintf("/v1/orders/%s?limit=%v", run.id, cellLimit)
+	caller := c.caller(zone % len(c.fleet.Entries))
+	err := caller.Call(ctx, method, path, []byte("file with the registry"), &status)
+	if err == nil && status.ID == "" && status.Reason == "" {
+		err = errors.New("empty answer")
+	}
+	return status, err
+}
+
+// seen returns what the caller has seen so far.
+func (c *cell) seen(run *draftRun) Draft {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return run.seen
+}
+
+// publish publishes the document with the state of the first availability
+// zone.
+func (c *cell) publish(state rtdocument.State) {
+	document := c.document
+	document.Zones = append([]rtdocument.Zone(nil), document.Zones...)
+	document.Zones[0].State = state
+	document.Base = c.document.Revision
+	document.Revision = document.Base + 1
+	version, err := c.fleet.Publish(document)
+	if err != nil {
+		c.t.Error(err)
+	}
+	c.document, c.version = document, version
+}
--- /dev/null
+++ b/internal/rtfleet/fault_test.go
@@ -0,0 +1,132 @@
+package rtfleet
+
+import (
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+// victims returns the parts that the requests of the cell use. Before the
+// draft has an id, it is expected at the engine of its entry's zone.
+func (c *cell) victims(draft *draftRun, order *orderRun) victims {
+	target := rtid.Target("a-engine-1")
+	if draft != nil {
+		if id := c.seen(draft).ID; id != "" {
+			target = targetOf(rtid.Request(id))
+		}
+	}
+	return victims{
+		entry:  c.fleet.Entries[0],
+		agents: []*Process{c.fleet.Agent(target), c.fleet.Agent(targetOf(order.id))},
+	}
+}
+
+// each calls f for each agent.
+func (v victims) each(f func(*Process)) {
+	for _, agent := range v.agents {
+		f(agent)
+	}
+}
+
+// targetOf returns the target that a request id names.
+func targetOf(id rtid.Request) rtid.Target {
+	home, err := rtid.ParseRequest(id)
+	if err != nil {
+		panic(err) // ids come from the system under test and were parsed by it
+	}
+	return home.Target
+}
+
+func (c *cell) engineOf(id string) *rtfake.Engine {
+	return c.fleet.Engines[targetOf(rtid.Request(id))]
+}
+
+func (c *cell) serviceOf(order *orderRun) *rtfake.Service {
+	return c.fleet.Services[targetOf(order.id)]
+}
+
+// finish waits for the ends of all requests.
+func (c *cell) finish() {
+	for _, task := range c.tasks {
+		if err := <-task.Done(); err != nil {
+			c.t.Error(err)
+		}
+	}
+	c.tasks = nil
+}
+
+// restart runs a new incarnation of a process.
+func (c *cell) restart(process *Process) {
+	c.t.Helper()
+	if err := c.fleet.Start(process); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// replace waits for the end of a planned stop and runs a new incarnation.
+func (c *cell) replace(process *Process) {
+	c.t.Helper()
+	if err := process.Stop(); err != nil {
+		c.t.Error(err)
+	}
+	c.restart(process)
+}
+
+// pair combines two faults.
+func pair(first, second func(*cell, victims)) func(*cell, victims) {
+	return func(c *cell, v victims) {
+		first(c, v)
+		second(c, v)
+	}
+}
+
+func killEntry(_ *cell, v victims)    { v.entry.Kill() }
+func restartEntry(c *cell, v victims) { c.restart(v.entry) }
+
+func killAgents(_ *cell, v victims)    { v.each((*Process).Kill) }
+func restartAgents(c *cell, v victims) { v.each(c.restart) }
+
+func freezeAgents(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Freeze(a.Host) }) }
+func thawAgents(c *cell, v victims)   { v.each(func(a *Process) { c.fabric.Thaw(a.Host) }) }
+
+func cutBoth(c *cell, v victims)   { v.each(func(a *Process) { c.fabric.CutBoth(v.entry.Host, a.Host) }) }
+func healLinks(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Heal(v.entry.Host, a.Host) }) }
+
+// loseAnswers loses the next answer of the plain service, and cuts the answers
+// of the agents after one more byte.
+func loseAnswers(c *cell, v victims) {
+	v.each(func(a *Process) {
+		c.fabric.CutAfter(a.Host, v.entry.Host, 1)
+		if service := c.fleet.Services[a.Target]; service != nil {
+			service.LoseReplies(1)
+		}
+	})
+}
+
+// target is what faults of engines and plain services act on.
+type target interface {
+	Crash()
+	Freeze()
+	Thaw()
+}
+
+// targets calls f for the targets of the agents.
+func (c *cell) targets(v victims, f func(target)) {
+	v.each(func(a *Process) {
+		if engine := c.fleet.Engines[a.Target]; engine != nil {
+			f(engine)
+		}
+		if service := c.fleet.Services[a.Target]; service != nil {
+			f(service)
+		}
+	})
+}
+
+func crashTargets(c *cell, v victims)  { c.targets(v, target.Crash) }
+func freezeTargets(c *cell, v victims) { c.targets(v, target.Freeze) }
+func thawTargets(c *cell, v victims)   { c.targets(v, target.Thaw) }
+
+func turnCold(c *cell, v victims) {
+	if engine := c.fleet.Engines[v.agents[0].Target]; engine != nil {
+		engine.TurnCold()
+	}
+}
--- a/internal/rtfleet/fleet.go
+++ b/internal/rtfleet/fleet.go
@@ -45,6 +45,7 @@
 	Agents   []*Process // engines first, then plain services; by availability zone
 	Engines  map[rtid.Target]*rtfake.Engine
 	Services map[rtid.Target]*rtfake.Service
+	Hosts    map[rtid.Target]string // IP address of each target
 
 	options  Options
 	ctx      context.Context // of the stand-ins
@@ -61,6 +62,7 @@
 		Platform: &rtfake.Platform{},
 		Engines:  make(map[rtid.Target]*rtfake.Engine),
 		Services: make(map[rtid.Target]*rtfake.Service),
+		Hosts:    make(map[rtid.Target]string),
 		options:  options,
 		ctx:      ctx,
 	}
@@ -118,6 +120,16 @@
 	return errors.Join(errs...)
 }
 
+// Agent returns the agent of a target, or nil.
+func (f *Fleet) Agent(target rtid.Target) *Process {
+	for _, process := range f.Agents {
+		if process.Target == target {
+			return process
+		}
+	}
+	return nil
+}
+
 // startPlatform serves the platform's stand-in.
 func (f *Fleet) startPlatform() error {
 	address, err := f.serve("10.0.0.1", f.Platform)
@@ -173,7 +185,8 @@
 	engine := rtfake.NewEngine(f.options.Engine)
 	f.Engines[target] = engine
 	f.fakes = append(f.fakes, rttask.Start(f.ctx, string(target), engine.Run))
-	address, err := f.serve(f.nextHost(), engine)
+	f.Hosts[target] = f.nextHost()
+	address, err := f.serve(f.Hosts[target], engine)
 	if err != nil {
 		return err
 	}
@@ -189,7 +202,8 @@
 	target := rtid.Target(fmt.Sprintf("%s-service-%d", zone, number+1))
 	service := rtfake.NewService(f.options.Service)
 	f.Services[target] = service
-	address, err := f.serve(f.nextHost(), service)
+	f.Hosts[target] = f.nextHost()
+	address, err := f.serve(f.Hosts[target], service)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/rtfleet/matrix_test.go
@@ -0,0 +1,208 @@
+package rtfleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
+	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
+)
+
+var testAgent = rtsettings.Agent{Memory: 400_000, Slots: 4, Cold: 2, Rate: 400_000}
+
+// testDocument returns a document with three availability zones.
+func testDocument() rtdocument.Document {
+	document := rtdocument.Document{
+		Revision: 1,
+		Organisations: []rtdocument.Organisation{
+			{Name: "high-court", Services: []rtid.Service{"drafts", "filings"}, Share: 0.6},
+			{Name: "parish", Services: []rtid.Service{"drafts", "filings"}, Share: 0.4},
+		},
+		Services: []rtdocument.Service{
+			{Name: "drafts", Kind: rtdocument.KindDraft, Model: "court-1"},
+			{Name: "filings", Kind: rtdocument.KindOrder},
+		},
+	}
+	for _, name := range []rtid.Zone{"a", "b", "c"} {
+		document.Zones = append(document.Zones, rtdocument.Zone{
+			Name: name, State: rtdocument.StateIn, Capacity: map[rtid.Service]float64{"drafts": 100, "filings": 10},
+		})
+	}
+	return document
+}
+
+// victims are the parts that a fault acts on: those that the draft and the
+// order of the cell use.
+type victims struct {
+	entry  *Process
+	agents []*Process // of the draft, of the order
+}
+
+// steps lists the moments at which a fault begins. reach sends what has to be
+// sent and returns at that moment.
+var steps = []struct {
+	name     string
+	accepted bool // the order was accepted before the fault
+	reach    func(c *cell) (*draftRun, *orderRun)
+}{
+	{"before-offer", false, func(c *cell) (*draftRun, *orderRun) {
+		return nil, c.issue()
+	}},
+	{"offer", false, func(c *cell) (*draftRun, *orderRun) {
+		order := c.issue()
+		draft := c.draft("victim")
+		c.put(order, 0)
+		c.wait(5 * linkDelay / 2) // the offers are on their way to the agents
+		return draft, order
+	}},
+	{"queue", false, func(c *cell) (*draftRun, *orderRun) {
+		for _, name := range []string{"first", "second", "third", "fourth", "fifth", "sixth"} {
+			c.draft(name)
+		}
+		order := c.issue()
+		draft := c.draft("victim")
+		c.put(order, 0)
+		c.until("the draft was accepted", func() bool { return c.seen(draft).ID != "" || c.seen(draft).Ended })
+		return draft, order
+	}},
+	{"prefill", false, func(c *cell) (*draftRun, *orderRun) {
+		order := c.issue()
+		draft := c.draft("victim")
+		c.until("the engine has started", func() bool {
+			id := c.seen(draft).ID
+			return id != "" && c.engineOf(id).Executions(rtid.Request(id)) > 0
+		})
+		c.put(order, 0)
+		return draft, order
+	}},
+	{"stream", true, func(c *cell) (*draftRun, *orderRun) {
+		order := c.issue()
+		draft := c.draft("victim")
+		c.until("the first text has come", func() bool { return len(c.seen(draft).Text) > 0 })
+		c.put(order, 0)
+		c.until("the order runs", func() bool { return c.serviceOf(order).Executions(order.id) > 0 })
+		return draft, order
+	}},
+	{"end", true, func(c *cell) (*draftRun, *orderRun) {
+		order := c.issue()
+		draft := c.draft("victim")
+		c.put(order, 0)
+		c.until("both ended", func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return draft.seen.Ended && len(order.replies) > 0
+		})
+		return draft, order
+	}},
+}
+
+// faults lists what goes wrong. heal ends the fault after faultLength.
+var faults = []struct {
+	name   string
+	strike func(*cell, victims)
+	heal   func(*cell, victims)
+	mild   bool // every request must still be done
+	// refusal is how a mild fault may refuse an order that was not accepted
+	// before it; the order's home cannot change.
+	refusal rtapi.Reason
+}{
+	{name: "none", mild: true},
+	{name: "kill-entry", strike: killEntry, heal: restartEntry},
+	{name: "kill-agent", strike: killAgents, heal: restartAgents},
+	{name: "kill-target", strike: crashTargets},
+	{name: "freeze-entry", strike: func(c *cell, v victims) { c.fabric.Freeze(v.entry.Host) },
+		heal: func(c *cell, v victims) { c.fabric.Thaw(v.entry.Host) }},
+	{name: "freeze-agent", strike: freezeAgents, heal: thawAgents},
+	{name: "freeze-target", strike: freezeTargets, heal: thawTargets},
+	{name: "cut-entry-to-agent", strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(v.entry.Host, a.Host) }) }, heal: healLinks},
+	{name: "cut-agent-to-entry", strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(a.Host, v.entry.Host) }) }, heal: healLinks},
+	{name: "cut-both", strike: cutBoth, heal: healLinks},
+	{name: "cut-target", strike: func(c *cell, v victims) {
+		v.each(func(a *Process) { c.fabric.CutBoth(a.Host, c.fleet.Hosts[a.Target]) })
+	}, heal: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Heal(a.Host, c.fleet.Hosts[a.Target]) }) }},
+	{name: "lose-answer", strike: loseAnswers, heal: healLinks},
+	{name: "platform-down", strike: func(c *cell, _ victims) { c.fleet.Platform.SetDown(true) },
+		heal: func(c *cell, _ victims) { c.fleet.Platform.SetDown(false) }, mild: true},
+	{name: "platform-stale", strike: func(c *cell, _ victims) {
+		c.publish(rtdocument.StateIn)
+		c.wait(time.Second)
+		c.fleet.Platform.SetStale(c.version - 1)
+	}, heal: func(c *cell, _ victims) { c.fleet.Platform.SetStale(0) }, mild: true},
+	{name: "cold-again", strike: turnCold, mild: true},
+	{name: "zone-out", strike: func(c *cell, _ victims) { c.publish(rtdocument.StateOut) },
+		heal: func(c *cell, _ victims) { c.publish(rtdocument.StateIn) }, mild: true, refusal: rtapi.ReasonZone},
+	{name: "operator-race", strike: func(c *cell, _ victims) {
+		before := c.document
+		c.publish(rtdocument.StateIn)
+		c.document = before
+		c.publish(rtdocument.StateIn)
+	}, mild: true},
+	{name: "stop-entry", strike: func(_ *cell, v victims) { v.entry.BeginStop() }, mild: true,
+		heal: func(c *cell, v victims) { c.replace(v.entry) }},
+	{name: "stop-agent", strike: func(_ *cell, v victims) { v.each((*Process).BeginStop) },
+		heal: func(c *cell, v victims) { v.each(c.replace) }, mild: true, refusal: rtapi.ReasonLeaving},
+	{name: "stop-entry+stop-agent", strike: func(_ *cell, v victims) {
+		v.entry.BeginStop()
+		v.each((*Process).BeginStop)
+	}, heal: func(c *cell, v victims) {
+		c.replace(v.entry)
+		v.each(c.replace)
+	}, mild: true, refusal: rtapi.ReasonLeaving},
+	{name: "kill-entry+kill-agent", strike: pair(killEntry, killAgents), heal: pair(restartEntry, restartAgents)},
+	{name: "kill-agent+cold-again", strike: pair(killAgents, turnCold), heal: restartAgents},
+	{name: "freeze-agent+zone-out", strike: pair(freezeAgents, func(c *cell, _ victims) { c.publish(rtdocument.StateOut) }),
+		heal: pair(thawAgents, func(c *cell, _ victims) { c.publish(rtdocument.StateIn) })},
+	{name: "platform-down+kill-agent", strike: pair(killAgents, func(c *cell, _ victims) { c.fleet.Platform.SetDown(true) }),
+		heal: pair(restartAgents, func(c *cell, _ victims) { c.fleet.Platform.SetDown(false) })},
+	{name: "cut-both+kill-target", strike: pair(cutBoth, crashTargets), heal: healLinks},
+}
+
+// TestFaultMatrix guards every invariant under every fault at every step of
+// the path.
+func TestFaultMatrix(t *testing.T) {
+	for _, fault := range faults {
+		for _, step := range steps {
+			t.Run(fault.name+"/"+step.name, func(t *testing.T) {
+				t.Parallel()
+				runCell(t, func(c *cell) {
+					draft, order := step.reach(c)
+					v := c.victims(draft, order)
+					if fault.strike != nil {
+						fault.strike(c, v)
+					}
+					if draft == nil {
+						draft = c.draft("victim")
+					}
+					c.put(order, 1) // a second time through another entry
+					c.wait(faultLength)
+					if fault.heal != nil {
+						fault.heal(c, v)
+					}
+					c.finish()
+					if fault.mild {
+						c.checkDone(draft, order, fault.refusal, step.accepted)
+					}
+				})
+			})
+		}
+	}
+}
+
+// checkDone checks that a fault that must not harm requests did not.
+func (c *cell) checkDone(draft *draftRun, order *orderRun, refusal rtapi.Reason, accepted bool) {
+	c.t.Helper()
+	if draft.seen.Outcome != rtapi.Done {
+		c.t.Errorf("draft %s: outcome %s, reason %s, error %v, want done", draft.seen.ID, draft.seen.Outcome, draft.seen.Reason, draft.err)
+	}
+	for _, reply := range order.replies {
+		refused := reply.Outcome == rtapi.NotRun && reply.Reason == refusal
+		if refused && !accepted {
+			continue
+		}
+		if reply.Outcome != rtapi.Done {
+			c.t.Errorf("order %s: outcome %s, reason %s, want done", order.id, reply.Outcome, reply.Reason)
+		}
+	}
+}
--- a/internal/rtfleet/process.go
+++ b/internal/rtfleet/process.go
@@ -31,8 +31,8 @@
 	kill    func(host string)
 
 	network *lifeline
-	task    *rttask.Task // nil when the process does not run
-	cancel  context.CancelFunc
+	tasks   []*rttask.Task     // all incarnations that were not waited for
+	cancel  context.CancelFunc // of the last incarnation
 }
 
 // start runs a new incarnation of the process.
@@ -50,28 +50,28 @@
 	p.network = network
 	p.cancel = cancel
 	p.kill = space.Kill
-	p.task = rttask.Start(context.WithoutCancel(ctx), string(p.VM), func(context.Context) error {
+	p.tasks = append(p.tasks, rttask.Start(context.WithoutCancel(ctx), string(p.VM), func(context.Context) error {
 		return errors.Join(runner.Run(running), metrics.Close())
-	})
+	}))
 	return nil
 }
 
 // BeginStop starts a planned stop, as SIGTERM does.
 func (p *Process) BeginStop() {
-	if p.task != nil {
+	if p.cancel != nil {
 		p.cancel()
 	}
 }
 
-// Stop makes a planned stop and waits for its end.
+// Stop makes a planned stop and waits for the end of all incarnations.
 func (p *Process) Stop() error {
-	if p.task == nil {
-		return nil
+	p.BeginStop()
+	var errs []error
+	for _, task := range p.tasks {
+		errs = append(errs, <-task.Done())
 	}
-	p.cancel()
-	err := <-p.task.Done()
-	p.task = nil
-	return err
+	p.tasks = nil
+	return errors.Join(errs...)
 }
 
 // Kill ends the process at once, as SIGKILL does: its connections break and
