--- /dev/null
+++ b/cmd/rhubarbtally/main.go
@@ -0,0 +1,22 @@
+// Rhubarbtally is the operators' client.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcommand"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	program := rtcommand.Program{Stdout: os.Stdout, Stderr: os.Stderr}
+	return program.Run(ctx, os.Args[1:])
+}
--- /dev/null
+++ b/internal/rtcommand/status_test.go
@@ -0,0 +1,107 @@
+package rtcommand
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// endpoint starts an operators' endpoint that answers with body, or with 503
+// if body is empty, and returns its address.
+func endpoint(t *testing.T, body string) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/status" && r.URL.Path != "/dump" || body == "" {
+			http.Error(w, "starting", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, body)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against a fleet that looks in order although processes have
+// different documents in force or do not answer.
+func TestStatus(t *testing.T) {
+	entry := endpoint(t, `{"vm":"e1","role":"entry","zone":"wdh-a","version":7,"revision":3,"ready":true,"state":"in","conflicts":2,"new":1}`)
+	same := endpoint(t, `{"vm":"a1","role":"agent","zone":"wdh-b","version":7,"revision":3,"leaving":true,"state":"out"}`)
+	older := endpoint(t, `{"vm":"a2","role":"agent","zone":"wdh-b","version":6}`)
+	starting := endpoint(t, "")
+	other := endpoint(t, "<html>")
+	tests := []struct {
+		name      string
+		addresses []string
+		code      int
+		stderr    []string
+	}{
+		{"same version", []string{entry, same}, ExitOK, nil},
+		{"versions differ", []string{entry, same, older}, ExitFailure, []string{"versions differ: 6 at " + older + "; 7 at " + entry + ", " + same}},
+		{"no answer", []string{entry, starting}, ExitFailure, []string{starting + " does not answer: GET /status: 503"}},
+		{"not a status", []string{other, older, entry}, ExitFailure, []string{other + " does not answer: answer is not a status", "versions differ"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			program := Program{Stdout: &stdout, Stderr: &stderr}
+			if code := program.Run(context.Background(), append([]string{"status"}, test.addresses...)); code != test.code {
+				t.Errorf("exit status %d, want %d", code, test.code)
+			}
+			for _, want := range test.stderr {
+				if !strings.Contains(stderr.String(), want) {
+					t.Errorf("got %s, want %s", &stderr, want)
+				}
+			}
+			lines := strings.Split(strings.TrimSpace(stdout.String()), "\n")
+			if len(lines) != len(test.addresses)+1 {
+				t.Errorf("got %d lines, want one for each address and a header:\n%s", len(lines), &stdout)
+			}
+		})
+	}
+	var stdout bytes.Buffer
+	program := Program{Stdout: &stdout, Stderr: io.Discard}
+	program.Run(context.Background(), []string{"status", entry, same})
+	rows := strings.Split(stdout.String(), "\n")
+	for i, want := range []string{"", entry + " e1 entry wdh-a in 7 3 yes no 2", same + " a1 agent wdh-b out 7 3 no yes 0"} {
+		if got := strings.Join(strings.Fields(rows[i]), " "); want != "" && got != want {
+			t.Errorf("row %d: got %q, want %q", i, got, want)
+		}
+	}
+}
+
+// Guards against a dump that is lost or taken for complete when nobody
+// answers.
+func TestDump(t *testing.T) {
+	for _, test := range []struct {
+		body string
+		code int
+	}{{`{"queue":{}}`, ExitOK}, {"", ExitFailure}} {
+		var stdout, stderr bytes.Buffer
+		program := Program{Stdout: &stdout, Stderr: &stderr}
+		if code := program.Run(context.Background(), []string{"dump", endpoint(t, test.body)}); code != test.code || stdout.String() != test.body {
+			t.Errorf("got exit status %d, %q, %s", code, &stdout, &stderr)
+		}
+	}
+}
+
+// Guards against a demo whose failure is not reported.
+func TestDemo(t *testing.T) {
+	for _, test := range []struct {
+		err  error
+		code int
+	}{{nil, ExitOK}, {errors.New("demo failed"), ExitFailure}} {
+		var stdout, stderr bytes.Buffer
+		program := Program{Stdout: &stdout, Stderr: &stderr, Demo: func(_ context.Context, w io.Writer) error {
+			_, _ = io.WriteString(w, "report")
+			return test.err
+		}}
+		if code := program.Run(context.Background(), []string{"demo"}); code != test.code || stdout.String() != "report" {
+			t.Errorf("got exit status %d, %q, %s", code, &stdout, &stderr)
+		}
+	}
+}
