--- a/internal/rtagent/stages.go
+++ b/internal/rtagent/stages.go
@@ -87,7 +87,7 @@
 		Deadline:     o.now.Add(message.Remaining.AsDuration()),
 	}
 	if seen.organisation != nil {
-		item.Weight = seen.organisation.Share
+		item.Weight = seen.organisation.ShareOf(rtid.Service(message.Service))
 	}
 	if message.Kind == rtwire.Kind_KIND_DRAFT {
 		item.Tokens = max(rtid.Tokens(message.Tokens), rtid.EstimateTokens(rtid.Bytes(len(message.Body))))
--- a/internal/rtcommand/status.go
+++ b/internal/rtcommand/status.go
@@ -1,6 +1,7 @@
 package rtcommand
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -146,7 +147,9 @@
 		return [statusColumnCount]string{a.address, "-", "-", "-", "-", "-", "-", "-", "-", "-"}
 	}
 	s := a.status
-	return [statusColumnCount]string{a.address, string(s.VM), s.Role, string(s.Zone), string(s.State),
+	// A process without a document has no state of its zone.
+	state := cmp.Or(string(s.State), "-")
+	return [statusColumnCount]string{a.address, string(s.VM), s.Role, string(s.Zone), state,
 		fmt.Sprint(s.Version), fmt.Sprint(s.Revision), yesNo(s.Ready), yesNo(s.Leaving), fmt.Sprint(s.Conflicts)}
 }
 
