--- a/internal/rtcommand/status_test.go
+++ b/internal/rtcommand/status_test.go
@@ -47,26 +47,23 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			var stdout, stderr bytes.Buffer
-			program := Program{Stdout: &stdout, Stderr: &stderr}
-			if code := program.Run(context.Background(), append([]string{"status"}, test.addresses...)); code != test.code {
+			code, stdout, stderr := run(append([]string{"status"}, test.addresses...)...)
+			if code != test.code {
 				t.Errorf("exit status %d, want %d", code, test.code)
 			}
 			for _, want := range test.stderr {
-				if !strings.Contains(stderr.String(), want) {
-					t.Errorf("got %s, want %s", &stderr, want)
+				if !strings.Contains(stderr, want) {
+					t.Errorf("got %s, want %s", stderr, want)
 				}
 			}
-			lines := strings.Split(strings.TrimSpace(stdout.String()), "\n")
+			lines := strings.Split(strings.TrimSpace(stdout), "\n")
 			if len(lines) != len(test.addresses)+1 {
-				t.Errorf("got %d lines, want one for each address and a header:\n%s", len(lines), &stdout)
+				t.Errorf("got %d lines, want one for each address and a header:\n%s", len(lines), stdout)
 			}
 		})
 	}
-	var stdout bytes.Buffer
-	program := Program{Stdout: &stdout, Stderr: io.Discard}
-	program.Run(context.Background(), []string{"status", entry, same})
-	rows := strings.Split(stdout.String(), "\n")
+	_, stdout, _ := run("status", entry, same)
+	rows := strings.Split(stdout, "\n")
 	for i, want := range []string{"", entry + " e1 entry wdh-a in 7 3 yes no 2", same + " a1 agent wdh-b out 7 3 no yes 0"} {
 		if got := strings.Join(strings.Fields(rows[i]), " "); want != "" && got != want {
 			t.Errorf("row %d: got %q, want %q", i, got, want)
@@ -81,10 +78,9 @@
 		body string
 		code int
 	}{{`{"queue":{}}`, ExitOK}, {"", ExitFailure}} {
-		var stdout, stderr bytes.Buffer
-		program := Program{Stdout: &stdout, Stderr: &stderr}
-		if code := program.Run(context.Background(), []string{"dump", endpoint(t, test.body)}); code != test.code || stdout.String() != test.body {
-			t.Errorf("got exit status %d, %q, %s", code, &stdout, &stderr)
+		code, stdout, stderr := run("dump", endpoint(t, test.body))
+		if code != test.code || stdout != test.body {
+			t.Errorf("got exit status %d, %q, %s", code, stdout, stderr)
 		}
 	}
 }
--- a/internal/rtdocument/diff_test.go
+++ b/internal/rtdocument/diff_test.go
@@ -20,6 +20,7 @@
 	from := decode()
 	to := decode(`"revision": 2, "base": 1`, `"revision": 3, "base": 2`, `"share": 0.4`, `"share": 0.5`,
 		`"court-1.5"`, `"court-2"`, `"wdh-b"`, `"wdh-c"`, `"summaries": 120`, `"filings": 3`, `"in"`, `"out"`)
+	slices.Reverse(to.Zones)
 	changes, warnings := Diff(from, to)
 	want := []string{
 		"service summaries: model from court-1.5 to court-2",
--- a/internal/rtdocument/document_test.go
+++ b/internal/rtdocument/document_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -26,7 +27,7 @@
 	if o := document.Organisation("high-court"); o.ShareOf("summaries") != 0.4 || o.ShareOf("filings") != 0.6 || o.ShareOf("other") != 0 {
 		t.Errorf("shares: got %+v", o)
 	}
-	if document.Zones[0].Name != "wdh-a" || document.Services[0].Name != "filings" || document.ZoneState("wdh-b") != StateOut {
+	if document.Zones[0].Name != "wdh-a" || document.Services[0].Name != "filings" || document.Organisations[0].Services[0] != "filings" || document.ZoneState("wdh-b") != StateOut {
 		t.Errorf("not sorted: %+v", document)
 	}
 	first, err := Encode(&document)
@@ -102,6 +103,27 @@
 	}
 }
 
+// Guards against numbers that JSON cannot hold, which a document that was not
+// decoded may have.
+func TestCheckNumbers(t *testing.T) {
+	for _, number := range []float64{math.Inf(1), math.NaN()} {
+		d := sample(1)
+		d.Organisations[0].Share = number
+		d.Zones[0].Capacity["service-0"] = number
+		findings := Check(d)
+		places := ""
+		for _, finding := range findings.All() {
+			places += finding.Place.Field + " "
+		}
+		if !strings.Contains(places, "organisations[0].share ") || !strings.Contains(places, "zones[0].capacity.service-0 ") {
+			t.Errorf("%v is accepted: %v", number, findings.All())
+		}
+		if data, err := Encode(d); err == nil {
+			t.Errorf("%v is encoded: %s", number, data)
+		}
+	}
+}
+
 // sample returns a valid document of the given size with 9 services and 12
 // availability zones, the size to design for.
 func sample(organisations int) *Document {
