Add decisions about zone and target of a request

Cause: the thin entry takes the least reported work, which herds on lagging reports and ignores zones, prefixes and lengths. Change: bounded pool per service, two choices on corrected load, affinity with bounded load, length classes, zone spill with hysteresis scaled by warm-up limits.

--- /dev/null
+++ b/internal/rtroute/route_test.go
@@ -0,0 +1,251 @@
+package rtroute
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// warm returns an idle warm target.
+func warm(name string, zone rtid.Zone) Report {
+	return Report{Target: rtid.Target(name), Zone: zone, Alive: true, Ready: true, Limit: 10, Slots: 10, Rate: 10_000}
+}
+
+// fleet returns n idle warm targets in zones a, b and c.
+func fleet(n int) []Report {
+	reports := make([]Report, n)
+	for i := range reports {
+		reports[i] = warm(fmt.Sprintf("engine-%d", i), rtid.Zone("abc"[i%3:i%3+1]))
+	}
+	return reports
+}
+
+// Guards against new work for a target that must not get any.
+func TestEligible(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Report)
+		want   bool
+	}{
+		{"warm", func(*Report) {}, true},
+		{"silent", func(r *Report) { r.Alive = false }, false},
+		{"leaving", func(r *Report) { r.Leaving = true }, false},
+		{"starting", func(r *Report) { r.Ready = false }, false},
+		{"zone out", func(r *Report) { r.Zone = "out" }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			report := warm("engine-1", "in")
+			test.change(&report)
+			if got := report.Eligible(func(zone rtid.Zone) bool { return zone == "in" }); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against load that flaps between zones around one threshold.
+func TestSpillHysteresis(t *testing.T) {
+	var spill Spill
+	steps := []struct {
+		part float64
+		want bool
+	}{{0.5, false}, {0.89, false}, {0.90, true}, {0.80, true}, {0.76, true}, {0.75, false}, {0.89, false}, {1.5, true}}
+	for _, step := range steps {
+		leaving := spill.Update(step.part)
+		if spill.Active() != step.want {
+			t.Errorf("at %v: spills %v, want %v", step.part, spill.Active(), step.want)
+		}
+		if leaving < 0 || leaving > 1 || leaving > 0 && !step.want {
+			t.Errorf("at %v: part %v leaves", step.part, leaving)
+		}
+	}
+}
+
+// Guards against a wrong zone: crossing without need, staying at a full zone,
+// or loading a zone that has just returned cold.
+func TestChooseZone(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Report)
+		rates  map[rtid.Zone][2]float64 // planned, measured
+		want   rtid.Zone                // of most requests
+	}{
+		{"idle stays", func(*Report) {}, nil, "a"},
+		{"full places spill", func(r *Report) {
+			if r.Zone != "c" {
+				r.Running = 10
+			}
+		}, nil, "c"},
+		{"planned rate reached", func(r *Report) {
+			if r.Zone == "b" {
+				r.Running = 9
+			}
+		}, map[rtid.Zone][2]float64{"a": {100, 95}}, "c"},
+		{"cold zone gets little", func(r *Report) {
+			switch r.Zone {
+			case "a":
+				r.Running = 10
+			case "b":
+				r.Limit, r.Running = 1, 1
+			}
+		}, nil, "c"},
+		{"cold own zone spills", func(r *Report) {
+			if r.Zone == "a" {
+				r.Limit, r.Running = 1, 1
+			}
+			if r.Zone == "b" {
+				r.Running = 10
+			}
+		}, nil, "c"},
+		{"all full takes the earliest", func(r *Report) {
+			r.Running = 10
+			r.Queued = 50_000
+			if r.Zone == "b" {
+				r.Queued = 1000
+			}
+		}, nil, "b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reports := fleet(9)
+			for i := range reports {
+				test.change(&reports[i])
+			}
+			pool := NewPool(reports, "entry-1")
+			for zone, rate := range test.rates {
+				pool.SetRate(zone, rate[0], rate[1])
+			}
+			random := newRandom()
+			var spill Spill
+			count := 0
+			for range 200 {
+				if zone, ok := pool.ChooseZone("a", &spill, Request{Tokens: 1000}, random); ok && zone == test.want {
+					count++
+				}
+			}
+			if count < 150 {
+				t.Errorf("%d of 200 in zone %s", count, test.want)
+			}
+		})
+	}
+}
+
+// Guards against prompts at targets that suit another length, and against
+// offers to targets that have refused.
+func TestChooseTarget(t *testing.T) {
+	reports := make([]Report, 10)
+	for i := range reports {
+		reports[i] = warm(fmt.Sprintf("engine-%d", i), "a")
+	}
+	reports[3].Prefill = 500_000
+	pool := NewPool(reports, "entry-1")
+	random := newRandom()
+	exclude := []rtid.Target{"engine-1", "engine-2"}
+	for i := range 500 {
+		short := Request{Tokens: 500, Class: rtid.ClassShort, Prefix: uint64(i), Exclude: exclude}
+		if target, _ := pool.ChooseTarget("a", short, random); target == "engine-3" {
+			t.Fatal("short prompt behind a long prefill")
+		}
+		long := Request{Tokens: 500_000, Class: rtid.ClassLong, Prefix: uint64(i), Exclude: exclude}
+		target, ok := pool.ChooseTarget("a", long, random)
+		if !ok || pool.targets[pool.index[target]].kept {
+			t.Fatalf("long prompt at %s, which is kept for short ones", target)
+		}
+		if long.excludes(target) {
+			t.Fatalf("offered to %s again", target)
+		}
+	}
+	short := Request{Class: rtid.ClassShort}
+	for _, report := range reports {
+		short.Exclude = append(short.Exclude, report.Target)
+	}
+	if target, ok := pool.ChooseTarget("a", short, random); ok {
+		t.Errorf("chose %s, although all are excluded", target)
+	}
+}
+
+// Guards against lost cache hits, and against one popular prefix that
+// overloads its target.
+func TestAffinity(t *testing.T) {
+	pool := NewPool(fleet(30), "entry-1")
+	random := newRandom()
+	request := Request{Tokens: 2000, Class: rtid.ClassShort, Prefix: PrefixHash([]byte("minutes of the court"))}
+	first, _ := pool.ChooseTarget("a", request, random)
+	for range 20 {
+		if target, _ := pool.ChooseTarget("a", request, random); target != first {
+			t.Fatalf("same prefix at %s and %s", first, target)
+		}
+	}
+	most := 0
+	counts := map[rtid.Target]int{}
+	for range 50 {
+		target, _ := pool.ChooseTarget("a", request, random)
+		pool.AddPending(target, Pending{Tokens: request.Tokens, Requests: 1})
+		counts[target]++
+		most = max(most, counts[target])
+	}
+	if most > 10 {
+		t.Errorf("one of ten targets got %d of 50 requests", most)
+	}
+}
+
+// Guards against work that counts twice, or never goes away.
+func TestFlights(t *testing.T) {
+	var flights Flights
+	start := time.Unix(100, 0)
+	first := flights.Send("engine-1", 10)
+	second := flights.Send("engine-1", 5)
+	if got := flights.Pending("engine-1", start); got != (Pending{Tokens: 15, Requests: 2}) {
+		t.Errorf("outstanding: %+v", got)
+	}
+	flights.Accept("engine-1", first, start.Add(time.Second))
+	if got := flights.Pending("engine-1", start); got.Requests != 2 {
+		t.Errorf("accepted after the report: %+v", got)
+	}
+	if got := flights.Pending("engine-1", start.Add(time.Second)); got.Requests != 1 {
+		t.Errorf("included in the report: %+v", got)
+	}
+	flights.Drop("engine-1", second)
+	if len(flights.targets) != 0 {
+		t.Errorf("left: %v", flights.targets)
+	}
+}
+
+// Guards against a decision that gets slower as the fleet grows.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{20, 100, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			pool := NewPool(fleet(n), "entry-1")
+			random := newRandom()
+			var spill Spill
+			request := Request{Tokens: 1000, Class: rtid.ClassShort}
+			b.ReportAllocs()
+			for b.Loop() {
+				request.Prefix++
+				zone, _ := pool.ChooseZone("a", &spill, request, random)
+				if _, ok := pool.ChooseTarget(zone, request, random); !ok {
+					b.Fatal("no target")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkNewPool measures a refresh, which happens a few times a second.
+func BenchmarkNewPool(b *testing.B) {
+	for _, n := range []int{20, 100, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			reports := fleet(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				NewPool(reports, "entry-1")
+			}
+		})
+	}
+}
