--- a/internal/rtentry/fake_test.go
+++ b/internal/rtentry/fake_test.go
@@ -285,7 +285,7 @@
 	go func() { served <- server.Serve(listener) }()
 	f.t.Cleanup(func() {
 		_ = server.Close()
-		<-served
+		_ = <-served
 	})
 	target := rtid.Target(agent.name)
 	f.node.order = append(f.node.order, target)
