--- a/internal/rtentry/fake_test.go
+++ b/internal/rtentry/fake_test.go
@@ -285,7 +285,9 @@
 	go func() { served <- server.Serve(listener) }()
 	f.t.Cleanup(func() {
 		_ = server.Close()
-		_ = <-served
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+			f.t.Errorf("agent: %v", err)
+		}
 	})
 	target := rtid.Target(agent.name)
 	f.node.order = append(f.node.order, target)
