Choose zone and target by the routing decisions, resume and move drafts

Cause: the thin entry chose by reported work only and gave up at a lost stream. Change: balancer a service over bounded pools, retry budget, limits of organisations, answers put together by the assembler, resume at the same agent, one move with the delivered prefix, settings by rtsettings. rtnode gets Entries, the number of live entries of a zone, for the measured rate of a zone.

--- a/cmd/rhubarbtally-entry/main.go
+++ b/cmd/rhubarbtally-entry/main.go
@@ -12,7 +12,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/BurntSushi/toml"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtentry"
@@ -28,25 +27,42 @@
 	exitSettings = 2
 )
 
+const usage = `usage: rhubarbtally-entry -config FILE
+
+Accepts callers' requests, chooses a target and relays the answer.
+
+  -config FILE  settings in TOML (or environment RHUBARBTALLY_CONFIG)
+  -h            print this text
+
+SIGTERM and SIGINT start a graceful stop. Exit status: 0 after a graceful
+stop, 1 when the entry failed, 2 when arguments or settings are not valid.
+`
+
 func main() {
-	os.Exit(run(os.Args[1:], os.Stderr))
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // run starts the entry and returns the exit status.
-func run(args []string, stderr io.Writer) int {
+func run(args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("rhubarbtally-entry", flag.ContinueOnError)
-	flags.SetOutput(stderr)
-	config := flags.String("config", "", "`FILE` with the settings in TOML")
+	flags.SetOutput(io.Discard)
+	config := flags.String("config", "", "")
 	err := ff.Parse(flags, args, ff.WithEnvVarPrefix("RHUBARBTALLY"))
 	switch {
 	case errors.Is(err, flag.ErrHelp):
+		_, _ = fmt.Fprint(stdout, usage)
 		return exitDone
-	case err != nil:
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitSettings
+	case err == nil && flags.NArg() > 0:
+		err = fmt.Errorf("unexpected argument %q", flags.Arg(0))
+	case err == nil && *config == "":
+		err = errors.New("-config FILE is missing")
 	}
-	settings, err := readSettings(*config)
 	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "rhubarbtally-entry: %v\n%s", err, usage)
+		return exitSettings
+	}
+	settings, findings := rtsettings.ReadEntry(*config)
+	if err := findings.Err(); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
@@ -57,26 +73,12 @@
 	return exitDone
 }
 
-// readSettings reads the settings file.
-func readSettings(file string) (rtsettings.Entry, error) {
-	var settings rtsettings.Entry
-	if file == "" {
-		return settings, errors.New("-config FILE is missing")
-	}
-	_, err := toml.DecodeFile(file, &settings)
-	return settings, err
-}
-
 // serve runs the entry until a signal. SIGTERM and SIGINT start a graceful
 // stop; further signals change nothing, because the handler stays installed.
 func serve(settings rtsettings.Entry, stderr io.Writer) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	level := settings.Level
-	if level == "" {
-		level = "info"
-	}
-	log, err := rtlog.New(stderr, level)
+	log, err := rtlog.New(stderr, settings.Level)
 	if err != nil {
 		return err
 	}
--- a/internal/rtentry/choose.go
+++ b/internal/rtentry/choose.go
@@ -1,51 +1,194 @@
 package rtentry
 
 import (
-	"slices"
+	"math/rand/v2"
+	"sync"
+	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtroute"
 )
 
-// choose returns the agent to offer a draft to.
-func (e *Entry) choose(d *draft, tried []rtid.Target) (rtnode.View, bool) {
-	return leastLoaded(e.eligible(d.document, d.service), tried)
+// refreshInterval is how old the view of a decision may be. Reports come once
+// a second, so that a tenth of that adds little to their age.
+const refreshInterval = 100 * time.Millisecond
+
+// balancer chooses the targets of one service.
+type balancer struct {
+	entry   *Entry
+	service rtid.Service
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	pool    *rtroute.Pool
+	views   map[rtid.Target]rtnode.View
+	built   time.Time    // of pool; zero if it must be built again
+	version rtid.Version // of the document that pool was built from
+	flights rtroute.Flights
+	spill   rtroute.Spill
+	local   rtlimit.Meter // requests of this entry to its own zone
+}
+
+// placement is a chosen target and the record of the work sent to it.
+type placement struct {
+	view     rtnode.View
+	balancer *balancer
+	number   uint64 // of the flight
 }
 
-// chooseHome returns the agent that becomes the home of a new order.
-func (e *Entry) chooseHome(document *rtdocument.Document, service rtid.Service) (rtnode.View, bool) {
-	return leastLoaded(e.eligible(document, service), nil)
+// balancer returns the balancer of a service, which is in the document.
+func (e *Entry) balancer(service rtid.Service) *balancer {
+	e.balancersMu.Lock()
+	defer e.balancersMu.Unlock()
+	b := e.balancers[service]
+	if b == nil {
+		b = &balancer{entry: e, service: service, random: rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))}
+		e.balancers[service] = b
+	}
+	return b
+}
+
+// choose returns the target to offer a draft to. It reports false if none is
+// eligible that has not been tried.
+func (b *balancer) choose(d *draft, tried []rtid.Target) (placement, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.refresh(now, d.version, d.document)
+	request := rtroute.Request{
+		Tokens:  d.tokens,
+		Output:  d.output,
+		Class:   d.class,
+		Prefix:  rtroute.PrefixHash(d.prompt),
+		Remain:  d.deadline.Sub(now),
+		Exclude: tried,
+	}
+	zone, ok := b.pool.ChooseZone(b.entry.settings.Zone, &b.spill, request, b.random)
+	if !ok {
+		return placement{}, false
+	}
+	target, ok := b.pool.ChooseTarget(zone, request, b.random)
+	if !ok {
+		return placement{}, false
+	}
+	if zone == b.entry.settings.Zone {
+		b.local.Add(now)
+	}
+	return b.place(target, d.tokens), true
+}
+
+// chooseHome returns the home of a new order: the least loaded target.
+func (b *balancer) chooseHome(x *exchange) (rtnode.View, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.refresh(now, x.version, x.document)
+	target, ok := b.pool.LeastLoaded(b.random)
+	if !ok {
+		return rtnode.View{}, false
+	}
+	// The order is likely to follow. Until the next report it counts, so that
+	// ids do not all name the same home.
+	p := b.place(target, 1)
+	b.flights.Accept(target, p.number, now)
+	return p.view, true
 }
 
-// eligible returns the agents of a service that may get new work.
-func (e *Entry) eligible(document *rtdocument.Document, service rtid.Service) []rtnode.View {
-	views := e.node.Targets(service)
-	return slices.DeleteFunc(views, func(view rtnode.View) bool {
-		return !view.Alive || view.Leaving || !view.Status.GetReady() ||
-			document.ZoneState(view.Zone) != rtdocument.StateIn
-	})
+// place records work that is about to be sent to a target.
+func (b *balancer) place(target rtid.Target, tokens rtid.Tokens) placement {
+	b.pool.AddPending(target, rtroute.Pending{Tokens: tokens, Requests: 1})
+	return placement{view: b.views[target], balancer: b, number: b.flights.Send(target, tokens)}
 }
 
-// leastLoaded returns the agent with the least reported work.
-func leastLoaded(views []rtnode.View, tried []rtid.Target) (rtnode.View, bool) {
-	best := -1
-	for i, view := range views {
-		if slices.Contains(tried, view.Target) {
+// refresh builds the pool again when it is too old or another document is in
+// force.
+func (b *balancer) refresh(now time.Time, version rtid.Version, document *rtdocument.Document) {
+	if b.pool != nil && b.version == version && now.Sub(b.built) < refreshInterval {
+		return
+	}
+	b.built, b.version = now, version
+	zoneIn := func(zone rtid.Zone) bool { return document.ZoneState(zone) == rtdocument.StateIn }
+	views := b.entry.node.Targets(b.service)
+	b.views = make(map[rtid.Target]rtnode.View, len(views))
+	reports := make([]rtroute.Report, 0, len(views))
+	for _, view := range views {
+		report := reportOf(view)
+		if !report.Eligible(zoneIn) {
 			continue
 		}
-		if best < 0 || work(view) < work(views[best]) {
-			best = i
+		report.Pending = b.flights.Pending(view.Target, view.Heard)
+		reports = append(reports, report)
+		b.views[view.Target] = view
+	}
+	b.pool = rtroute.NewPool(reports, string(b.entry.settings.VM))
+	b.setRate(now, document)
+}
+
+// setRate sets the planned and measured rate of the own zone. The load
+// balancer spreads callers evenly, so the zone gets about as many times this
+// entry's requests as it has entries.
+func (b *balancer) setRate(now time.Time, document *rtdocument.Document) {
+	own := b.entry.settings.Zone
+	entries := max(1, b.entry.node.Entries(own))
+	measured := b.local.Rate(now) * float64(entries)
+	for i := range document.Zones {
+		if document.Zones[i].Name == own {
+			b.pool.SetRate(own, document.Zones[i].Capacity[b.service], measured)
 		}
 	}
-	if best < 0 {
-		return rtnode.View{}, false
+}
+
+// state returns the balancer's part of the dump.
+func (b *balancer) state() serviceState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := serviceState{Spilling: b.spill.Active(), Local: b.local.Rate(time.Now())}
+	if b.pool != nil {
+		state.Targets = b.pool.Len()
 	}
-	return views[best], true
+	return state
 }
 
-// work returns the reported work of an agent.
-func work(view rtnode.View) int64 {
+// accepted records that the target has the work.
+func (p placement) accepted() {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	p.balancer.flights.Accept(p.view.Target, p.number, time.Now())
+}
+
+// ended removes the record of the work.
+func (p placement) ended() {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	p.balancer.flights.Drop(p.view.Target, p.number)
+}
+
+// refused removes the record of the work and lets the next decision use the
+// status that came with the refusal.
+func (p placement) refused() {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	p.balancer.flights.Drop(p.view.Target, p.number)
+	p.balancer.built = time.Time{}
+}
+
+// reportOf returns what a decision needs of a view.
+func reportOf(view rtnode.View) rtroute.Report {
 	load := view.Status.GetLoad()
-	return load.GetQueued() + load.GetPrefill() + int64(load.GetRunning())
+	return rtroute.Report{
+		Target:  view.Target,
+		Zone:    view.Zone,
+		Alive:   view.Alive,
+		Leaving: view.Leaving,
+		Ready:   view.Status.GetReady(),
+		Queued:  rtid.Tokens(load.GetQueued()),
+		Prefill: rtid.Tokens(load.GetPrefill()),
+		Running: int(load.GetRunning()),
+		Limit:   int(load.GetLimit()),
+		Slots:   int(load.GetSlots()),
+		Rate:    load.GetRate(),
+	}
 }
--- a/internal/rtentry/draft.go
+++ b/internal/rtentry/draft.go
@@ -34,6 +34,7 @@
 	(*Entry).filterPlan,
 	(*Entry).filterClass,
 	(*Entry).filterLimit,
+	(*Entry).filterOrganisation,
 }
 
 // postDraft serves POST /v1/drafts.
@@ -54,6 +55,8 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), d.deadline)
 	defer cancel()
+	e.drafts.Add(1)
+	defer e.drafts.Add(-1)
 	delivery := &delivery{entry: e, draft: d, events: newEvents(x.w, 0, d.deadline)}
 	return delivery.run(ctx)
 }
@@ -88,70 +91,90 @@
 	return nil
 }
 
+// filterOrganisation checks the limit of the organisation.
+func (e *Entry) filterOrganisation(d *draft) *refusal {
+	return e.checkOrganisation(d.exchange, d.service)
+}
+
 // delivery is the state of a draft from the first offer to its end.
 type delivery struct {
 	entry   *Entry
 	draft   *draft
 	events  *events
 	tried   []rtid.Target // targets that have refused or lost the draft
-	attempt rtid.Attempt
 	retries int
 	moved   bool // an accepted draft has been offered to another target
 }
 
 // run offers the draft until it has an end.
 func (d *delivery) run(ctx context.Context) *refusal {
+	balancer := d.entry.balancer(d.draft.service)
+	d.entry.limits.offer()
+	last := result{reason: rtapi.ReasonCapacity, detail: "no target can take the request now"}
 	for {
-		view, ok := d.entry.choose(d.draft, d.tried)
+		place, ok := balancer.choose(d.draft, d.tried)
 		if !ok {
-			return d.end(rtapi.NotRun, rtapi.ReasonCapacity, "no target can take the request now")
-		}
-		d.tried = append(d.tried, view.Target)
-		d.attempt++
-		request := rtid.NewRequest(homeOf(view, rtid.KindDraft, d.draft.organisation.Name))
-		result := d.entry.offerDraft(ctx, view, d.offerOf(request, view))
-		if result.verdict == verdictAccepted {
-			d.events.start(request)
-			result = d.entry.relay(ctx, view, request, d.draft.organisation.Name, d.events, d.observeFirst)
+			return d.end(rtapi.NotRun, last)
 		}
-		if done, refused := d.settle(result); done {
+		d.tried = append(d.tried, place.view.Target)
+		last = d.try(ctx, place)
+		if done, refused := d.settle(last); done {
 			return refused
 		}
 	}
 }
 
+// try offers the draft to one target and relays the answer.
+func (d *delivery) try(ctx context.Context, place placement) result {
+	organisation := d.draft.organisation.Name
+	home := homeOf(place.view, rtid.KindDraft, organisation)
+	request := rtid.NewRequest(home)
+	offered := d.entry.offerDraft(ctx, place.view, d.offerOf(request, place.view))
+	if offered.verdict != verdictAccepted {
+		place.refused()
+		return offered
+	}
+	place.accepted()
+	defer place.ended()
+	d.events.start(request)
+	relay := d.entry.newRelay(place.view, request, home, organisation, d.events)
+	relay.first = d.observeFirst
+	return relay.run(ctx)
+}
+
 // settle decides what follows the result of one target. It reports whether
 // the draft has ended.
-func (d *delivery) settle(result result) (bool, *refusal) {
-	switch result.verdict {
+func (d *delivery) settle(found result) (bool, *refusal) {
+	switch found.verdict {
 	case verdictFinal:
-		d.events.end(result.outcome, result.reason, result.final)
+		d.entry.countEnd(found.outcome, found.reason)
+		d.events.end(found.outcome, found.reason, found.final)
 		return true, nil
 	case verdictCallerGone:
+		d.entry.countEnd(rtapi.Unknown, rtapi.ReasonCancelled)
 		return true, nil
 	case verdictRefused:
-		if d.mayRetry(result.reason) {
-			return false, nil
+		if !retriesElsewhere(found.reason) || d.retries == maxRetries {
+			return true, d.end(rtapi.NotRun, found)
 		}
-		return true, d.end(rtapi.NotRun, result.reason, result.detail)
+		if !d.entry.limits.takeRetry() {
+			found.detail = "the retry budget is used up after a refusal: " + string(found.reason)
+			found.reason = rtapi.ReasonBudget
+			return true, d.end(rtapi.NotRun, found)
+		}
+		d.retries++
+		d.entry.metrics.Scope.Counter("retries").Inc(1)
+		return false, nil
 	case verdictGone:
-		if !d.moved {
-			d.moved = true
-			return false, nil
+		if d.moved {
+			return true, d.end(rtapi.Failed, found)
 		}
-		return true, d.end(rtapi.Failed, rtapi.ReasonIncarnation, "two targets were lost")
+		d.moved = true
+		d.entry.metrics.Scope.Counter("moves").Inc(1)
+		return false, nil
 	default:
-		return true, d.end(rtapi.Unknown, rtapi.ReasonDeadline, "the time limit was reached")
-	}
-}
-
-// mayRetry reports whether a refused draft may be offered to another target.
-func (d *delivery) mayRetry(reason rtapi.Reason) bool {
-	if !retriesElsewhere(reason) || d.retries == maxRetries {
-		return false
+		return true, d.end(rtapi.Unknown, found)
 	}
-	d.retries++
-	return true
 }
 
 // retriesElsewhere reports whether another target may accept what one refused.
@@ -166,26 +189,35 @@
 
 // end ends the draft without a final frame. Text that was delivered shows that
 // the draft had started.
-func (d *delivery) end(outcome rtapi.Outcome, reason rtapi.Reason, detail string) *refusal {
-	if d.events.received > 0 {
+func (d *delivery) end(outcome rtapi.Outcome, found result) *refusal {
+	if d.events.received > 0 || d.moved && outcome == rtapi.NotRun {
 		outcome = rtapi.Failed
 	}
+	d.entry.countEnd(outcome, found.reason)
 	if d.events.started {
-		d.events.end(outcome, reason, nil)
+		d.events.end(outcome, found.reason, nil)
 		return nil
 	}
-	status := http.StatusServiceUnavailable
+	refused := notRun(draftStatus(found.reason), found.reason, draftRetry(found.reason), found.detail)
+	refused.body.Outcome = outcome
+	if refused.body.Retry {
+		refused.after = retryAfter
+	}
+	return refused
+}
+
+// draftStatus returns the HTTP status of a draft that ended before its stream.
+func draftStatus(reason rtapi.Reason) int {
 	switch reason {
 	case rtapi.ReasonDeadline:
-		status = http.StatusGatewayTimeout
+		return http.StatusGatewayTimeout
 	case rtapi.ReasonPlan:
-		status = http.StatusForbidden
+		return http.StatusForbidden
 	case rtapi.ReasonMalformed:
-		status = http.StatusBadRequest
+		return http.StatusBadRequest
+	default:
+		return http.StatusServiceUnavailable
 	}
-	refused := notRun(status, reason, draftRetry(reason), detail)
-	refused.body.Outcome = outcome
-	return refused
 }
 
 // draftRetry reports whether a draft may be sent again. Drafts have no side
@@ -199,7 +231,7 @@
 func (d *delivery) offerOf(request rtid.Request, view rtnode.View) *rtwire.OfferRequest {
 	offer := &rtwire.OfferRequest{
 		Request:      string(request),
-		Attempt:      uint32(d.attempt),
+		Attempt:      uint32(attempt),
 		Organisation: string(d.draft.organisation.Name),
 		Service:      string(d.draft.service),
 		Kind:         rtwire.Kind_KIND_DRAFT,
@@ -252,11 +284,15 @@
 		return notRun(http.StatusServiceUnavailable, known.reason, draftRetry(known.reason), "the draft did not run")
 	}
 	events := newEvents(x.w, offset, deadline)
+	relay := e.newRelay(known.view, x.id, home, x.organisation.Name, events)
+	if refused := relay.check(ctx); refused != nil {
+		return refused
+	}
 	events.start(x.id)
-	result := e.relay(ctx, known.view, x.id, x.organisation.Name, events, func() {})
-	switch result.verdict {
-	case verdictFinal:
-		events.end(result.outcome, result.reason, result.final)
+	found := relay.run(ctx)
+	switch found.verdict {
+	case verdictFinal, verdictRefused:
+		events.end(found.outcome, found.reason, found.final)
 	case verdictGone:
 		events.end(rtapi.Failed, rtapi.ReasonIncarnation, nil)
 	case verdictExpired:
--- a/internal/rtentry/entry.go
+++ b/internal/rtentry/entry.go
@@ -8,9 +8,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 
@@ -24,13 +25,6 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 )
 
-// Defaults of settings that are zero.
-const (
-	defaultLongest   = 10 * time.Minute
-	defaultDrain     = 10 * time.Minute
-	defaultOperators = rtid.Address("127.0.0.1:0")
-)
-
 // Node is the part of rtnode.Node that an entry uses.
 type Node interface {
 	Started() <-chan struct{}
@@ -41,6 +35,9 @@
 	Observe(status *rtwire.Status)
 	Targets(service rtid.Service) []rtnode.View
 	Find(target rtid.Target) (rtnode.View, bool)
+	Entries(zone rtid.Zone) int
+	Configuration() rtnode.Configuration
+	Dump() rtnode.Dump
 	Handler() http.Handler
 	Run(ctx context.Context) error
 }
@@ -52,6 +49,7 @@
 	Metrics *rtmetric.Metrics
 	Dump    *rtdump.Registry // optional
 	Node    Node             // optional; made from the settings if nil
+	Seed    uint64           // of random choices; 0 for a random one
 }
 
 // Entry is one entry process.
@@ -63,8 +61,14 @@
 	dump     *rtdump.Registry
 	node     Node
 	agents   agents
+	limits   limits
 	ready    atomic.Bool // new requests are welcome
+	drafts   atomic.Int64
 	leaving  atomic.Bool // never goes back to false
+
+	balancersMu sync.Mutex
+	balancers   map[rtid.Service]*balancer
+	random      *rand.Rand // seeds the balancers
 }
 
 // New returns an entry that has not started.
@@ -78,6 +82,9 @@
 		dump:     dependencies.Dump,
 		node:     dependencies.Node,
 		agents:   newAgents(dependencies.Network),
+
+		balancers: make(map[rtid.Service]*balancer),
+		random:    newRandom(dependencies.Seed),
 	}
 	if entry.metrics == nil {
 		metrics, err := rtmetric.New("rhubarbtally_entry")
@@ -98,18 +105,28 @@
 			Metrics:  entry.metrics.Scope,
 		})
 	}
+	entry.dump.Add("entry", entry.state)
+	entry.dump.Add("node", func() any { return entry.node.Dump() })
 	return entry, nil
 }
 
+// newRandom returns a source with a seed.
+func newRandom(seed uint64) *rand.Rand {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return rand.New(rand.NewPCG(seed, 0))
+}
+
 // setDefaults fills settings that are zero.
 func setDefaults(settings *rtsettings.Entry) {
 	if settings.Longest == 0 {
-		settings.Longest = rtsettings.Duration(defaultLongest)
+		settings.Longest = rtsettings.DefaultLongest
 	}
 	if settings.Drain == 0 {
-		settings.Drain = rtsettings.Duration(defaultDrain)
+		settings.Drain = rtsettings.DefaultDrain
 	}
 	if settings.Operators == "" {
-		settings.Operators = defaultOperators
+		settings.Operators = rtsettings.DefaultOperators
 	}
 }
--- a/internal/rtentry/events.go
+++ b/internal/rtentry/events.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtanswer"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
@@ -129,6 +130,15 @@
 	s.err = s.control.Flush()
 }
 
+// verify compares the whole answer with its final frame. A stream that does
+// not start at the start of the answer is verified by its assembler only.
+func (s *events) verify(final *rtwire.Final) error {
+	if s.first == 0 && xxhash.Sum64(s.answer) != final.GetChecksum() {
+		return fmt.Errorf("%w: checksum of all attempts differs", rtanswer.ErrCorrupt)
+	}
+	return nil
+}
+
 // completeLength returns the length of text without an incomplete character
 // at its end.
 func completeLength(text []byte) int {
--- a/internal/rtentry/fake_test.go
+++ b/internal/rtentry/fake_test.go
@@ -48,11 +48,16 @@
 func (n *fakeNode) Document() (rtid.Version, *rtdocument.Document) {
 	return 1, n.document
 }
-func (n *fakeNode) SetReady(bool)                 {}
-func (n *fakeNode) SetLeaving()                   {}
-func (n *fakeNode) Status() *rtwire.Status        { return &rtwire.Status{Role: rtwire.Role_ROLE_ENTRY} }
-func (n *fakeNode) Observe(*rtwire.Status)        {}
-func (n *fakeNode) Handler() http.Handler         { return http.NotFoundHandler() }
+func (n *fakeNode) SetReady(bool)          {}
+func (n *fakeNode) SetLeaving()            {}
+func (n *fakeNode) Status() *rtwire.Status { return &rtwire.Status{Role: rtwire.Role_ROLE_ENTRY} }
+func (n *fakeNode) Observe(*rtwire.Status) {}
+func (n *fakeNode) Handler() http.Handler  { return http.NotFoundHandler() }
+func (n *fakeNode) Entries(rtid.Zone) int  { return 1 }
+func (n *fakeNode) Dump() rtnode.Dump      { return rtnode.Dump{} }
+func (n *fakeNode) Configuration() rtnode.Configuration {
+	return rtnode.Configuration{}
+}
 func (n *fakeNode) Run(ctx context.Context) error { <-ctx.Done(); return nil }
 
 func (n *fakeNode) Targets(service rtid.Service) []rtnode.View {
@@ -199,6 +204,7 @@
 		}
 	}
 	frame.Request = path.Base(r.URL.Path)
+	frame.Attempt = 1
 	_, _ = protodelim.MarshalTo(w, frame)
 	_ = http.NewResponseController(w).Flush()
 }
--- a/internal/rtentry/metrics.go
+++ b/internal/rtentry/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
 )
 
 // bands are the prompt lengths by which the time to first token is measured.
@@ -35,6 +36,12 @@
 	return bands[len(bands)-1].name
 }
 
+// countEnd counts the end of a draft.
+func (e *Entry) countEnd(outcome rtapi.Outcome, reason rtapi.Reason) {
+	tags := map[string]string{"outcome": outcome.String(), "reason": string(reason)}
+	e.metrics.Scope.Tagged(tags).Counter("drafts").Inc(1)
+}
+
 // observeFirst records the time to first token.
 func (d *delivery) observeFirst() {
 	tags := map[string]string{"band": bandOf(d.draft.tokens)}
--- a/internal/rtentry/offer.go
+++ b/internal/rtentry/offer.go
@@ -98,19 +98,19 @@
 			continue
 		}
 		switch {
+		case neverAgain(reply.GetReason()):
+			return result{verdict: verdictGone, reason: reasons[reply.GetReason()]}
 		case reply.GetOutcome() == rtwire.Outcome_OUTCOME_NOT_RUN:
 			return result{verdict: verdictRefused, reason: reasons[reply.GetReason()], detail: reply.GetDetail()}
 		case reply.GetOutcome() != rtwire.Outcome_OUTCOME_UNKNOWN:
 			return result{verdict: verdictAccepted}
-		case neverAgain(reply.GetReason()):
-			return result{verdict: verdictGone, reason: reasons[reply.GetReason()]}
 		}
 		refreshRemaining(ctx, offer)
 		if again, err := e.offer(ctx, view.Address, offer); err == nil {
 			return resultOf(again)
 		}
 	}
-	return result{verdict: verdictExpired, reason: rtapi.ReasonDeadline}
+	return expired(ctx)
 }
 
 // neverAgain reports whether an agent that does not know a request cannot
--- a/internal/rtentry/operators.go
+++ b/internal/rtentry/operators.go
@@ -5,6 +5,8 @@
 	"runtime/debug"
 
 	"github.com/julienschmidt/httprouter"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
 
 // statusBody is the answer of GET /status for operators.
@@ -48,6 +50,7 @@
 		State:   "unknown",
 		Build:   buildVersion(),
 	}
+	body.Conflicts = e.node.Configuration().Counts.Conflicts
 	if document != nil {
 		body.Revision = uint64(document.Revision)
 		body.State = string(document.ZoneState(e.settings.Zone))
@@ -55,6 +58,37 @@
 	return body
 }
 
+// serviceState is the dump of one balancer.
+type serviceState struct {
+	Targets  int     `json:"targets"`  // eligible at the last decision
+	Spilling bool    `json:"spilling"` // from the own zone
+	Local    float64 `json:"local"`    // requests a second to the own zone
+}
+
+// state returns the entry's part of the dump.
+func (e *Entry) state() any {
+	state := struct {
+		Ready    bool                          `json:"ready"`
+		Leaving  bool                          `json:"leaving"`
+		Drafts   int64                         `json:"drafts"`  // that run now
+		Budget   float64                       `json:"budget"`  // retries allowed now
+		Retries  uint64                        `json:"retries"` // since the start
+		Services map[rtid.Service]serviceState `json:"services"`
+	}{
+		Ready:    e.ready.Load(),
+		Leaving:  e.leaving.Load(),
+		Drafts:   e.drafts.Load(),
+		Services: make(map[rtid.Service]serviceState),
+	}
+	state.Budget, state.Retries = e.limits.left()
+	e.balancersMu.Lock()
+	defer e.balancersMu.Unlock()
+	for service, b := range e.balancers {
+		state.Services[service] = b.state()
+	}
+	return state
+}
+
 // buildVersion returns the version of the main module.
 func buildVersion() string {
 	info, ok := debug.ReadBuildInfo()
--- a/internal/rtentry/order.go
+++ b/internal/rtentry/order.go
@@ -36,7 +36,7 @@
 	if refused := x.checkPlan(service, rtdocument.KindOrder); refused != nil {
 		return refused
 	}
-	view, ok := e.chooseHome(x.document, service)
+	view, ok := e.balancer(service).chooseHome(x)
 	if !ok {
 		return notRun(http.StatusServiceUnavailable, rtapi.ReasonCapacity, true, "no target of the service can take an order now")
 	}
@@ -58,6 +58,9 @@
 	if refused := x.checkPlan(home.view.Service, rtdocument.KindOrder); refused != nil {
 		return refused
 	}
+	if refused := e.checkOrganisation(x, home.view.Service); refused != nil {
+		return refused
+	}
 	body, refused := readBody(x.w, x.r, maxOrderBody)
 	if refused != nil {
 		return refused
--- a/internal/rtentry/relay.go
+++ b/internal/rtentry/relay.go
@@ -3,155 +3,242 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-
-	"github.com/cespare/xxhash/v2"
+	"net/http"
+	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtanswer"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
 )
 
-var (
-	errCallerGone = errors.New("caller does not read any more")
-	errGap        = errors.New("answer has a gap")
-	errForeign    = errors.New("frame of another request")
-)
+// attempt is the number of every offer of a draft. An offer to another target
+// has an id of its own, which keeps the frames of two attempts apart.
+const attempt rtid.Attempt = 1
+
+// watchInterval is how often a reader checks whether its agent still exists.
+// A connection to a lost VM can stay open without a sign.
+const watchInterval = time.Second
+
+var errCallerGone = errors.New("caller does not read any more")
+
+// relay passes the answer of one accepted draft on to its caller.
+type relay struct {
+	entry        *Entry
+	view         rtnode.View
+	request      rtid.Request
+	home         rtid.Home
+	organisation rtid.Organisation
+	events       *events
+	assembler    *rtanswer.Assembler
+	first        func() // called with the first text
+}
 
-// damageError is an answer that fails its own final frame.
-type damageError struct {
-	detail string
+// newRelay returns the relay of an answer from the position of events on.
+func (e *Entry) newRelay(view rtnode.View, request rtid.Request, home rtid.Home,
+	organisation rtid.Organisation, events *events) *relay {
+	return &relay{
+		entry:        e,
+		view:         view,
+		request:      request,
+		home:         home,
+		organisation: organisation,
+		events:       events,
+		assembler:    rtanswer.NewAssembler(request, attempt, events.position()),
+		first:        func() {},
+	}
 }
 
-func (e *damageError) Error() string { return "answer is damaged: " + e.detail }
+// open opens the answer stream at the place where reading stopped.
+func (r *relay) open(ctx context.Context) (*frames, error) {
+	return r.entry.agents.answer(ctx, r.view.Address, r.request, r.organisation, r.assembler.Offset())
+}
 
-// relay passes the answer of an accepted draft on until its end. A lost
-// connection is resumed at the same agent. First is called with the first
-// text.
-func (e *Entry) relay(ctx context.Context, view rtnode.View, request rtid.Request,
-	organisation rtid.Organisation, events *events, first func()) result {
-	home, err := rtid.ParseRequest(request)
+// check opens the answer stream once and returns the refusal of a read that
+// the agent does not allow, before the caller's stream has started.
+func (r *relay) check(ctx context.Context) *refusal {
+	stream, err := r.open(ctx)
 	if err != nil {
-		return result{verdict: verdictGone, reason: rtapi.ReasonNotFound}
-	}
-	query := &rtwire.QueryRequest{
-		Request:      string(request),
-		Organisation: string(organisation),
-		Incarnation:  uint64(home.Incarnation),
+		return answerRefusal(r.request, err)
 	}
+	stream.close()
+	return nil
+}
+
+// run relays until the answer ends. A lost stream is resumed at the same
+// agent.
+func (r *relay) run(ctx context.Context) result {
 	pause := newBackoff()
 	for {
-		before := events.position()
-		final, err := e.read(ctx, view.Address, request, organisation, events, first)
-		var damage *damageError
+		before := r.assembler.Offset()
+		final, err := r.read(ctx)
 		switch {
 		case err == nil:
-			return finalResult(final)
+			return finalResult(final, r.events)
 		case errors.Is(err, errCallerGone):
 			return result{verdict: verdictCallerGone}
-		case errors.As(err, &damage):
-			e.log.Error(err, "Answer damaged.", "request", request)
+		case errors.Is(err, rtanswer.ErrCorrupt):
+			r.entry.log.Error(err, "Answer damaged.", "request", r.request)
 			return result{verdict: verdictFinal, outcome: rtapi.Failed, reason: rtapi.ReasonIncomplete}
 		}
-		e.log.V(1).Info("Answer stream lost.", "request", request, "error", err.Error())
-		if events.position() > before {
+		r.entry.log.V(1).Info("Answer stream lost.", "request", r.request, "error", err.Error())
+		r.entry.metrics.Scope.Counter("streams_lost").Inc(1)
+		if r.assembler.Offset() > before {
 			pause.reset()
 		}
 		if !pause.wait(ctx) {
-			return result{verdict: verdictExpired, reason: rtapi.ReasonDeadline}
+			return expired(ctx)
 		}
-		if e.draftGone(ctx, view, query, home) {
-			return result{verdict: verdictGone, reason: rtapi.ReasonIncarnation}
+		if found, ended := r.diagnose(ctx, err); ended {
+			return found
 		}
 	}
 }
 
-// draftGone reports whether the agent cannot deliver an accepted draft any
-// more: it is another incarnation, does not know the draft, or is neither
-// reachable nor heard of.
-func (e *Entry) draftGone(ctx context.Context, view rtnode.View, query *rtwire.QueryRequest, home rtid.Home) bool {
-	if e.homeGone(home.Target, home.Incarnation) {
-		return true
+// expired returns the result of a context that has ended.
+func expired(ctx context.Context) result {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return result{verdict: verdictCallerGone}
 	}
-	reply, err := e.query(ctx, view.Address, query)
-	if err == nil {
-		return reply.GetOutcome() == rtwire.Outcome_OUTCOME_UNKNOWN
-	}
-	current, ok := e.node.Find(home.Target)
-	return ok && !current.Alive && ctx.Err() == nil
+	return result{verdict: verdictExpired, reason: rtapi.ReasonDeadline}
 }
 
-// finalResult returns the result of a complete answer stream.
-func finalResult(final *rtwire.Final) result {
-	return result{
-		verdict: verdictFinal,
-		outcome: outcomeOf(final.GetOutcome()),
-		reason:  reasons[final.GetReason()],
-		detail:  final.GetDetail(),
-		final:   final,
+// diagnose finds out whether the agent can still deliver the answer. It
+// reports false if reading may go on.
+func (r *relay) diagnose(ctx context.Context, cause error) (result, bool) {
+	gone := result{verdict: verdictGone, reason: rtapi.ReasonIncarnation}
+	if r.gone() {
+		return gone, true
+	}
+	reply, err := r.entry.query(ctx, r.view.Address, &rtwire.QueryRequest{
+		Request:      string(r.request),
+		Organisation: string(r.organisation),
+		Incarnation:  uint64(r.home.Incarnation),
+	})
+	if err != nil {
+		return gone, ctx.Err() == nil && !r.alive()
+	}
+	var refused *answerError
+	switch {
+	case reply.GetReason() == rtwire.Reason_REASON_INCARNATION, reply.GetOutcome() == rtwire.Outcome_OUTCOME_UNKNOWN:
+		return gone, true
+	case !errors.As(cause, &refused) || reply.GetOutcome() == rtwire.Outcome_OUTCOME_ACCEPTED:
+		return result{}, false
+	case reply.GetOutcome() == rtwire.Outcome_OUTCOME_NOT_RUN:
+		return result{verdict: verdictRefused, reason: reasons[reply.GetReason()], detail: reply.GetDetail()}, true
+	default:
+		// The request has ended, and its answer is not kept.
+		return result{verdict: verdictFinal, outcome: rtapi.Failed, reason: rtapi.ReasonExpired}, true
 	}
 }
 
-// read reads one answer stream from the position of events until the final
-// frame or an error.
-func (e *Entry) read(ctx context.Context, address rtid.Address, request rtid.Request,
-	organisation rtid.Organisation, events *events, first func()) (*rtwire.Final, error) {
-	frames, err := e.agents.answer(ctx, address, request, organisation, events.position())
+// gone reports whether the incarnation that holds the answer is known to be
+// gone.
+func (r *relay) gone() bool {
+	return r.entry.homeGone(r.home.Target, r.home.Incarnation)
+}
+
+// alive reports whether the agent has been heard of lately.
+func (r *relay) alive() bool {
+	view, ok := r.entry.node.Find(r.home.Target)
+	return ok && view.Alive
+}
+
+// read reads one answer stream until its final frame or an error.
+func (r *relay) read(ctx context.Context) (*rtwire.Final, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := rttask.Start(ctx, "watch", func(ctx context.Context) error {
+		r.watch(ctx, cancel)
+		return nil
+	})
+	// watch returns nothing but nil.
+	defer func() { _ = watch.Stop() }()
+	stream, err := r.open(ctx)
 	if err != nil {
 		return nil, err
 	}
-	defer frames.close()
+	defer stream.close()
+	return r.copy(stream)
+}
+
+// watch cancels a read when its agent is gone or has not been heard of.
+func (r *relay) watch(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
 	for {
-		frame, err := frames.next()
-		if err != nil {
-			return nil, err
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if r.gone() || !r.alive() {
+				cancel()
+				return
+			}
 		}
-		text, err := nextText(frame, request, events.position())
+	}
+}
+
+// copy moves frames through the assembler to the caller.
+func (r *relay) copy(stream *frames) (*rtwire.Final, error) {
+	for {
+		frame, err := stream.next()
 		if err != nil {
 			return nil, err
 		}
-		if len(text) > 0 {
-			if events.received == 0 {
-				first()
+		r.assembler.Add(frame)
+		if text := r.assembler.Next(); len(text) > 0 {
+			if r.events.received == 0 {
+				r.first()
 			}
-			events.text(text)
+			r.events.text(text)
 		}
-		if events.err != nil {
+		if r.events.err != nil {
 			return nil, errCallerGone
 		}
-		if final := frame.GetFinal(); final != nil {
-			return final, verify(final, events)
+		final, complete, err := r.assembler.Final()
+		switch {
+		case err != nil:
+			return nil, err
+		case complete:
+			return final, r.events.verify(final)
 		}
 	}
 }
 
-// nextText returns the part of a frame from position on.
-func nextText(frame *rtwire.Frame, request rtid.Request, position int64) ([]byte, error) {
-	if frame.GetRequest() != string(request) {
-		return nil, errForeign
+// finalResult returns the result of a complete answer stream. An accepted
+// draft that did not run may go to another target, as one that was refused.
+func finalResult(final *rtwire.Final, events *events) result {
+	found := result{
+		verdict: verdictFinal,
+		outcome: outcomeOf(final.GetOutcome()),
+		reason:  reasons[final.GetReason()],
+		detail:  final.GetDetail(),
+		final:   final,
 	}
-	skip := position - frame.GetOffset()
-	switch {
-	case len(frame.GetText()) == 0:
-		return nil, nil
-	case skip < 0:
-		return nil, errGap
-	case skip >= int64(len(frame.GetText())):
-		return nil, nil
-	default:
-		return frame.GetText()[skip:], nil
+	if found.outcome == rtapi.NotRun && events.received == 0 {
+		found.verdict = verdictRefused
 	}
+	return found
 }
 
-// verify compares the answer with its final frame. A stream that does not
-// start at the start of the answer is compared by size only.
-func verify(final *rtwire.Final, events *events) error {
-	if final.GetSize() != events.position() {
-		return &damageError{fmt.Sprintf("%d bytes, want %d", events.position(), final.GetSize())}
+// answerRefusal returns the answer to a caller whose read an agent refused.
+func answerRefusal(id rtid.Request, err error) *refusal {
+	var refused *answerError
+	if !errors.As(err, &refused) {
+		return nil
 	}
-	if events.first == 0 && xxhash.Sum64(events.answer) != final.GetChecksum() {
-		return &damageError{"checksum does not match"}
+	switch refused.status {
+	case http.StatusRequestedRangeNotSatisfiable:
+		return malformed(rtapi.Finding{Field: "offset", Text: "is beyond the end of the answer"})
+	case http.StatusGone, http.StatusNotFound:
+		gone := notRun(http.StatusGone, rtapi.ReasonExpired, true, "the answer is not kept any more")
+		gone.body.Outcome = rtapi.Failed
+		gone.body.ID = string(id)
+		return gone
+	default:
+		return notFound()
 	}
-	return nil
 }
--- a/internal/rtentry/status.go
+++ b/internal/rtentry/status.go
@@ -45,6 +45,9 @@
 	if known.outcome != rtwire.Outcome_OUTCOME_UNKNOWN {
 		return known, nil
 	}
+	if reply.GetReason() == rtwire.Reason_REASON_CONFLICT {
+		return known, notFound()
+	}
 	refused := notRun(http.StatusGone, known.reason, false, "the home of the request does not know it any more")
 	if known.reason == rtapi.ReasonNone {
 		refused.status = http.StatusNotFound
