--- a/cmd/rhubarbtally/main.go
+++ b/cmd/rhubarbtally/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcommand"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdemo"
 )
 
 func main() {
@@ -17,6 +18,6 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	program := rtcommand.Program{Stdout: os.Stdout, Stderr: os.Stderr}
+	program := rtcommand.Program{Stdout: os.Stdout, Stderr: os.Stderr, Demo: rtdemo.Run}
 	return program.Run(ctx, os.Args[1:])
 }
