Bound the memory of a refused document

Cause: a document of 1 MiB with a fault in each value gave 524,190 findings and took 4.0 s and 548 MiB of heap; every process reads each publication, so one bad publication could exhaust the memory of all VMs. Ruled out: fewer bytes for the document, as the platform sets that limit. Change: Decode and Check stop after 1,000 findings and say so; a document has at most 262,144 values, which no valid document of 1 MiB can exceed.

--- a/internal/rtdocument/check.go
+++ b/internal/rtdocument/check.go
@@ -25,17 +25,17 @@
 	c.declaredServices()
 	c.zones()
 	c.shares()
-	return c.findings
+	return c.findings.list
 }
 
 type checker struct {
 	document *Document
 	services map[rtid.Service]bool // declared names
-	findings rtfinding.List
+	findings limitedList
 }
 
 func (c *checker) add(path, format string, args ...any) {
-	c.findings.Add(rtfinding.Place{Field: path}, format, args...)
+	c.findings.add(rtfinding.Place{Field: path}, format, args...)
 }
 
 func (c *checker) revision() {
@@ -119,7 +119,7 @@
 		c.capacity(path+".capacity", z.Capacity)
 	}
 	if in == 0 {
-		c.findings.Warn(rtfinding.Place{Field: "zones"}, "no availability zone is in")
+		c.findings.list.Warn(rtfinding.Place{Field: "zones"}, "no availability zone is in")
 	}
 }
 
--- a/internal/rtdocument/decode.go
+++ b/internal/rtdocument/decode.go
@@ -29,7 +29,10 @@
 	}
 	reader := newTreeReader(data)
 	document := reader.document(&root)
-	findings.Append(reader.findings)
+	findings.Append(reader.findings.list)
+	if reader.findings.full() {
+		return Document{}, findings // only a part was read
+	}
 	check := Check(&document)
 	for _, finding := range check.All() {
 		reader.addCheckFinding(&findings, finding)
@@ -72,7 +75,7 @@
 	lines    lines
 	offsets  map[string]int64
 	faulty   map[string]bool // paths that have a finding
-	findings rtfinding.List
+	findings limitedList
 }
 
 func newTreeReader(data []byte) *treeReader {
@@ -86,7 +89,7 @@
 
 func (r *treeReader) add(path string, offset int64, format string, args ...any) {
 	r.faulty[path] = true
-	r.findings.Add(r.place(path, offset), format, args...)
+	r.findings.add(r.place(path, offset), format, args...)
 }
 
 // addCheckFinding adds a finding of Check with its position. It drops a
@@ -138,6 +141,9 @@
 	}
 	seen := make(map[string]bool, len(fields))
 	for i := range v.members {
+		if r.findings.full() {
+			return
+		}
 		m := &v.members[i]
 		key := join(path, m.key)
 		switch read := find(fields, m.key); {
@@ -183,6 +189,9 @@
 	}
 	result := make([]T, 0, len(v.items))
 	for i := range v.items {
+		if r.findings.full() {
+			break
+		}
 		result = append(result, read(fmt.Sprintf("%s[%d]", path, i), &v.items[i]))
 	}
 	return result
@@ -195,6 +204,9 @@
 	}
 	result := make(map[rtid.Service]float64, len(v.members))
 	for i := range v.members {
+		if r.findings.full() {
+			break
+		}
 		m := &v.members[i]
 		key := join(path, m.key)
 		if _, given := result[rtid.Service(m.key)]; given {
--- a/internal/rtdocument/document_test.go
+++ b/internal/rtdocument/document_test.go
@@ -103,6 +103,28 @@
 	}
 }
 
+// Guards against one bad publication that exhausts the memory of all VMs.
+func TestDecodeBounds(t *testing.T) {
+	const head = `{"revision":1,"base":0,"services":[],"zones":[],"organisations":[`
+	const stopped = "reading stopped after 1000 findings"
+	tests := []struct{ name, unit, start, end, want string }{
+		{"values", `1`, head, `]}`, "more than 262144 values"},
+		{"wrong types", `1000`, head, `]}`, stopped},
+		{"unknown fields", `"a":1`, `{`, `}`, stopped},
+		{"services not declared", `"abc"`, head + `{"name":"a","share":1,"services":[`, `]}]}`, stopped},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			count := (int(MaxSize)-len(test.start)-len(test.end))/(len(test.unit)+1) - 1
+			_, findings := Decode([]byte(test.start + strings.Repeat(test.unit+",", count) + test.unit + test.end))
+			all := findings.All()
+			if len(all) == 0 || len(all) > maxFindings+2 || !strings.Contains(all[0].Text+all[1%len(all)].Text, test.want) {
+				t.Errorf("got %d findings, the first is %v, want %s", len(all), all[:min(1, len(all))], test.want)
+			}
+		})
+	}
+}
+
 // Guards against numbers that JSON cannot hold, which a document that was not
 // decoded may have.
 func TestCheckNumbers(t *testing.T) {
--- /dev/null
+++ b/internal/rtdocument/limit.go
@@ -0,0 +1,30 @@
+package rtdocument
+
+import "github.com/rhubarbtally/rhubarbtally/internal/rtfinding"
+
+// maxFindings bounds the memory of a refused document. Every process reads
+// each publication, so one bad document of the full size must not exhaust the
+// memory of all VMs.
+const maxFindings = 1000
+
+// limitedList collects findings up to maxFindings.
+type limitedList struct {
+	list  rtfinding.List
+	count int
+}
+
+// full reports whether further findings are left out.
+func (l *limitedList) full() bool {
+	return l.count >= maxFindings
+}
+
+func (l *limitedList) add(place rtfinding.Place, format string, args ...any) {
+	if l.full() {
+		return
+	}
+	l.count++
+	l.list.Add(place, format, args...)
+	if l.full() {
+		l.list.Add(rtfinding.Place{}, "reading stopped after %d findings, there may be more", maxFindings)
+	}
+}
--- a/internal/rtdocument/tree.go
+++ b/internal/rtdocument/tree.go
@@ -12,6 +12,10 @@
 // levels deep.
 const maxDepth = 16
 
+// maxValues bounds the memory of the tree. A valid document has fewer values,
+// as each takes at least four bytes, such as "a" in quotes and a comma.
+const maxValues = int(MaxSize) / 4
+
 // value is a JSON value with its position. Exactly one of the slices is used
 // by objects and arrays; scalar holds a string, json.Number, bool or nil.
 type value struct {
@@ -53,6 +57,7 @@
 type treeParser struct {
 	data    []byte
 	decoder *json.Decoder
+	values  int // read so far
 }
 
 func parseTree(data []byte) (value, error) {
@@ -96,6 +101,9 @@
 	if err != nil {
 		return value{}, err
 	}
+	if p.values++; p.values > maxValues {
+		return value{}, &syntaxError{offset: offset, err: fmt.Errorf("more than %d values", maxValues)}
+	}
 	if depth > maxDepth {
 		return value{}, &syntaxError{offset: offset, err: fmt.Errorf("nested more than %d levels deep", maxDepth)}
 	}
