--- a/internal/rtfleet/space.go
+++ b/internal/rtfleet/space.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 
@@ -60,17 +61,28 @@
 	return &l.tcp
 }
 
+// Ports of Loopback are below those that the operating system gives to
+// outgoing connections, which could take a port between Address and Listen.
+const (
+	firstLoopbackPort = 20000
+	loopbackPorts     = 12000
+)
+
 // Address returns an address whose port was free a moment ago.
 func (l *Loopback) Address(string) (rtid.Address, error) {
-	listener, err := l.tcp.Listen("127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	address := rtid.Address(listener.Addr().String())
-	if err := listener.Close(); err != nil {
-		return "", fmt.Errorf("free the port: %w", err)
+	for range loopbackPorts {
+		port := firstLoopbackPort + rand.IntN(loopbackPorts)
+		address := rtid.Address(fmt.Sprintf("127.0.0.1:%d", port))
+		listener, err := l.tcp.Listen(address)
+		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err != nil {
+			return "", fmt.Errorf("free the port: %w", err)
+		}
+		return address, nil
 	}
-	return address, nil
+	return "", errors.New("no free loopback port")
 }
 
 // Kill does nothing: the end of a process closes its connections.
