Let Close of the in-memory network end dials in their latency

A test with random faults under HTTP found that a dial which net/http had detached from its request slept on after the test had ended. Dials now wait for the change of a fault and for their latency together.

--- a/internal/rtfake/engine.go
+++ b/internal/rtfake/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,8 @@
 	stats    EngineStats
 	// executions counts the generations that were started, by id.
 	executions map[rtid.Request]int
-	changed    chan struct{} // closed and replaced when Run or a handler may go on
+	commands   []rttarget.Command // that had an effect
+	changed    chan struct{}      // closed and replaced when Run or a handler may go on
 }
 
 // EngineStats are the counters of an engine since it was made.
@@ -46,7 +48,6 @@
 	Failovers int         // of a cold engine under too many streams
 	Steps     int         // of continuous batching
 	Started   int         // generations, whatever became of them
-	Commands  int         // POST /order that had an effect
 	Used      rtid.Tokens // KV memory used now
 	Streams   int         // live now
 	Start     int64       // number of this start
@@ -167,12 +168,13 @@
 	e.wakeLocked()
 }
 
-// Crash ends the process: streams, holds, exports and cache are gone,
-// connections of requests are cut, and the engine starts again cold, after
-// its downtime.
+// Crash ends the process, also a frozen one: streams, holds, exports and cache
+// are gone, connections of requests are cut, and the engine starts again cold,
+// after its downtime.
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.frozen = false
 	e.cutLocked()
 	e.upAt = time.Now().Add(e.config.Downtime)
 	e.restartLocked()
@@ -242,3 +244,10 @@
 	defer e.mu.Unlock()
 	return e.executions[id]
 }
+
+// Commands returns the commands of POST /order that had an effect.
+func (e *Engine) Commands() []rttarget.Command {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.commands)
+}
--- a/internal/rtfake/enginecache_test.go
+++ b/internal/rtfake/enginecache_test.go
@@ -169,6 +169,9 @@
 			}
 		}
 		wantStatus(t, client.Command(t.Context(), rttarget.Command{Model: "new"}), http.StatusServiceUnavailable)
+		if got := len(engine.Commands()); got != weightBurst {
+			t.Errorf("%d commands had an effect, want %d", got, weightBurst)
+		}
 		if served, refused := store.Reads("new"); served != weightBurst || refused != 1 {
 			t.Errorf("%d reads served and %d refused, want %d and 1", served, refused, weightBurst)
 		}
--- a/internal/rtfake/enginecommand.go
+++ b/internal/rtfake/enginecommand.go
@@ -38,7 +38,7 @@
 		e.cold = true
 		e.warming = 0
 	}
-	e.stats.Commands++
+	e.commands = append(e.commands, command)
 	return done
 }
 
--- a/internal/rtfake/enginehttp.go
+++ b/internal/rtfake/enginehttp.go
@@ -83,6 +83,8 @@
 			return
 		case <-g.ready:
 		}
+		// A frozen engine writes nothing. After a crash the chunk tells.
+		_ = e.waitThawed(r.Context())
 		e.mu.Lock()
 		chunk, broken := g.takeChunk(), g.broken
 		e.mu.Unlock()
--- a/internal/rtfake/network.go
+++ b/internal/rtfake/network.go
@@ -124,25 +124,24 @@
 
 // handshake waits until a round trip has passed with both links whole.
 func (n *Network) handshake(ctx context.Context, there, back *link) error {
-	for delayed := false; ; {
+	var established time.Time
+	for {
 		changed, closed := n.watchFaults()
 		whole := !there.isCut() && !back.isCut() && !there.from.isFrozen()
+		now := time.Now()
 		switch {
 		case closed:
 			return net.ErrClosed
-		case whole && delayed:
+		case !whole:
+			established = time.Time{}
+		case established.IsZero():
+			established = now.Add(there.delay() + back.delay())
+		}
+		if whole && !now.Before(established) {
+			return ctx.Err()
+		}
+		if !waitUntil(ctx, changed, established) {
 			return ctx.Err()
-		case whole:
-			if err := sleep(ctx, there.delay()+back.delay()); err != nil {
-				return err
-			}
-			delayed = true
-		default:
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-changed:
-			}
 		}
 	}
 }
@@ -223,18 +222,3 @@
 func opError(operation string, address netip.AddrPort, err error) error {
 	return &net.OpError{Op: operation, Net: "tcp", Addr: net.TCPAddrFromAddrPort(address), Err: err}
 }
-
-// sleep waits for a duration or the end of the context.
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/rtfake/pipe.go
+++ b/internal/rtfake/pipe.go
@@ -1,6 +1,7 @@
 package rtfake
 
 import (
+	"context"
 	"io"
 	"os"
 	"sync"
@@ -64,7 +65,7 @@
 		if n > 0 || err != nil || len(buffer) == 0 {
 			return n, err
 		}
-		waitChange(changed, until)
+		waitUntil(context.Background(), changed, until)
 	}
 }
 
@@ -132,7 +133,7 @@
 			return written, err
 		}
 		if n == 0 {
-			waitChange(changed, until)
+			waitUntil(context.Background(), changed, until)
 		}
 	}
 }
@@ -210,29 +211,3 @@
 func (s *pipe) closedError() error {
 	return io.ErrClosedPipe
 }
-
-// waitChange returns when changed is closed or at the instant until.
-func waitChange(changed <-chan struct{}, until time.Time) {
-	if until.IsZero() {
-		<-changed
-		return
-	}
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	}
-}
-
-func expired(deadline, now time.Time) bool {
-	return !deadline.IsZero() && !now.Before(deadline)
-}
-
-// earliest returns the earlier instant; a zero one is never.
-func earliest(a, b time.Time) time.Time {
-	if b.IsZero() || (!a.IsZero() && a.Before(b)) {
-		return a
-	}
-	return b
-}
--- a/internal/rtfake/platform.go
+++ b/internal/rtfake/platform.go
@@ -1,7 +1,6 @@
 package rtfake
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -250,17 +249,3 @@
 	// An error means that the reader has gone.
 	_, _ = w.Write(a.body)
 }
-
-// waitUntil returns when changed is closed or at the instant until, and false
-// if the context ends first.
-func waitUntil(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-changed:
-	case <-timer.C:
-	}
-	return true
-}
--- a/internal/rtfake/service.go
+++ b/internal/rtfake/service.go
@@ -245,6 +245,7 @@
 	s.start = max(s.start+1, time.Now().UnixMilli())
 	s.running = map[rtid.Request]int{}
 	s.concurrent = 0
+	s.frozen = false
 	s.recordLoadLocked()
 	s.wakeLocked()
 }
