--- a/internal/rtfake/http.go
+++ b/internal/rtfake/http.go
@@ -28,6 +28,7 @@
 	var err error
 	select {
 	case err = <-serving.Done():
+		err = errors.Join(err, server.Close())
 	case <-ctx.Done():
 		err = errors.Join(server.Close(), closedIsNil(<-serving.Done()))
 	}
--- a/internal/rtfake/network.go
+++ b/internal/rtfake/network.go
@@ -27,8 +27,9 @@
 // Network is a TCP network in memory. A host is a VM, named by its IP
 // address. The zero value is ready to use.
 //
-// Faults act on hosts and on the link from one host to another. A cut link
-// holds bytes, as TCP does, until it is healed.
+// Faults act on hosts and on the link from one host to another. They take an
+// IP address, or an address with a port whose host is meant. A cut link holds
+// bytes, as TCP does, until it is healed.
 type Network struct {
 	Seed    uint64                        // of jitter and loss
 	Default func(from, to string) Latency // latency of links without SetLatency; nil: none
@@ -60,7 +61,7 @@
 
 // Host returns the network as the host with this IP address sees it.
 func (n *Network) Host(name string) *Host {
-	return &Host{network: n, name: name}
+	return &Host{network: n, name: hostOf(name)}
 }
 
 // Listen opens a listener at the host that the address names.
@@ -174,6 +175,7 @@
 }
 
 func (n *Network) linkLocked(from, to string) *link {
+	from, to = hostOf(from), hostOf(to)
 	key := linkKey{from, to}
 	if l := n.links[key]; l != nil {
 		return l
@@ -190,7 +192,16 @@
 	return l
 }
 
+// hostOf returns the host of an address, or a host as it is.
+func hostOf(name string) string {
+	if address, err := netip.ParseAddrPort(name); err == nil {
+		return address.Addr().String()
+	}
+	return name
+}
+
 func (n *Network) hostLocked(name string) *hostState {
+	name = hostOf(name)
 	if h := n.hosts[name]; h != nil {
 		return h
 	}
--- a/internal/rtfake/network_test.go
+++ b/internal/rtfake/network_test.go
@@ -142,6 +142,7 @@
 		{"cut one way", func(n *Network) { n.Cut(hostA, hostB) }, func(n *Network) { n.Heal(hostA, hostB) }, "", "pong"},
 		{"cut both ways", func(n *Network) { n.CutBoth(hostA, hostB) }, func(n *Network) { n.Heal(hostA, hostB) }, "", ""},
 		{"cut after 3", func(n *Network) { n.CutAfter(hostA, hostB, 3) }, func(n *Network) { n.Heal(hostA, hostB) }, "pin", "pong"},
+		{"cut by address", func(n *Network) { n.Cut(hostA+":1", string(portB)) }, func(n *Network) { n.Heal(hostA, hostB) }, "", "pong"},
 		{"isolate", func(n *Network) { n.Isolate(hostB) }, func(n *Network) { n.Rejoin(hostB) }, "", ""},
 		{"freeze reader", func(n *Network) { n.Freeze(hostA) }, func(n *Network) { n.Thaw(hostA) }, "ping", ""},
 	}
