Keep heartbeats within the control budget and test spread of news

Cause: at 1,000 bytes assumed an exchange, the interval for 26 agents was 2.8 s instead of 1 s, and an unlisted dead agent stayed known for 8 s. Change: headers that nobody reads are left out of Hello, documents travel in gzip, the interval follows from the budget less what a reader reads. Acting readers replace silent designated ones. The platform's client is rtplatform. Conclusion: 26 agents get a Hello each second within 17 KB/s.

--- a/internal/rtmember/interval.go
+++ b/internal/rtmember/interval.go
@@ -6,31 +6,63 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
 
-// Bounds of control traffic.
+// Bounds of control traffic, in bytes.
 const (
-	// HeartbeatBudget is the part of the 17 KB/s of control traffic per node
-	// that heartbeats may use, in bytes per second. The rest is for documents
-	// and the list of VMs.
-	HeartbeatBudget rtid.Bytes = 9_000
+	// ControlBudget is what all control traffic of a node may take a second,
+	// both directions together.
+	ControlBudget rtid.Bytes = 17_000
 
-	// ExchangeSize is what one Hello and its reply take on the wire, both
-	// directions, HTTP headers and TCP/IP headers included.
-	ExchangeSize rtid.Bytes = 1_000
+	// SpreadBudget is the part of ControlBudget kept for documents and lists
+	// that travel between peers, and for Hellos that announce them.
+	SpreadBudget rtid.Bytes = 1_400
+
+	// ExchangeSize is what one Hello and its reply take on the wire: 440 of
+	// HTTP measured over loopback, and 52 of TCP and IP for each of 3 segments.
+	ExchangeSize rtid.Bytes = 600
 
 	// AliveIntervals is how many intervals an agent may miss.
 	AliveIntervals = 3
 )
 
+// How often the platform's values change at the size to design for.
+const (
+	documentPeriod = 13 * time.Second // 6,700 changes a day
+	listPeriod     = 20 * time.Second // 1,240 VMs replaced a day, some 3 changes each
+)
+
+// ListBudget is what a reader may spend a second on the list of VMs. The
+// platform sends the whole list at each change.
+const ListBudget rtid.Bytes = 4_000
+
+// ReaderCost returns what reading the platform takes a second at the rates of
+// change to design for.
+func ReaderCost(document, list rtid.Bytes) rtid.Bytes {
+	perList := list * rtid.Bytes(time.Second) / rtid.Bytes(listPeriod)
+	perDocument := document * rtid.Bytes(time.Second) / rtid.Bytes(documentPeriod)
+	return perDocument + min(perList, ListBudget)
+}
+
+// leastBudget keeps heartbeats going when a reader's documents take most of
+// ControlBudget.
+const leastBudget = ControlBudget / 8
+
+// Fleet is what the interval of heartbeats depends on.
+type Fleet struct {
+	Subset  int // agents of one entry
+	Entries int
+	Agents  int
+}
+
 // Interval returns the heartbeat interval of an entry: base, lengthened so
-// that neither an entry nor an agent exceeds HeartbeatBudget. Subset is the
-// number of agents of one entry.
-func Interval(base time.Duration, subset, entries, agents int) time.Duration {
-	exchanges := subset
-	if agents > 0 {
-		perAgent := (entries*subset + agents - 1) / agents
+// that neither an entry nor an agent exceeds ControlBudget. Reading is what
+// the process spends a second on reading the platform.
+func Interval(base time.Duration, fleet Fleet, reading rtid.Bytes) time.Duration {
+	exchanges := fleet.Subset
+	if fleet.Agents > 0 {
+		perAgent := (fleet.Entries*fleet.Subset + fleet.Agents - 1) / fleet.Agents
 		exchanges = max(exchanges, perAgent)
 	}
+	budget := max(leastBudget, ControlBudget-SpreadBudget-reading)
 	size := time.Duration(exchanges) * time.Duration(ExchangeSize)
-	needed := size * time.Second / time.Duration(HeartbeatBudget)
-	return max(base, needed)
+	return max(base, size*time.Second/time.Duration(budget))
 }
--- /dev/null
+++ b/internal/rtnode/change_test.go
@@ -0,0 +1,253 @@
+package rtnode_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
+)
+
+// Guards against a start that trusts a stale platform: the peer knows more.
+func TestStartWithStalePlatform(t *testing.T) {
+	inRunningFleet(t, func(t *testing.T, f *fleet) {
+		f.publish(1)
+		f.within(newsBound, "version 2 spreads", f.allHave(2))
+		f.platform.SetStale(1)
+		p := f.replace(f.ofRole(rtplatform.RoleEntry)[0])
+		<-p.node.Started()
+		if version, _ := p.node.Document(); version != 2 {
+			t.Errorf("started with version %d, want 2", version)
+		}
+		f.during(75*time.Second, "nobody reverts", f.allHave(2))
+	})
+}
+
+// Guards against a process that serves without a configuration, and one that
+// never starts because its first read failed.
+func TestStartWhilePlatformIsDown(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.publish(0)
+		f.build()
+		f.platform.SetDown(true)
+		f.startAll()
+		f.during(time.Minute, "nobody starts", func() error {
+			for _, p := range f.processes {
+				select {
+				case <-p.node.Started():
+					return fmt.Errorf("%s has started", p.member.VM)
+				default:
+				}
+			}
+			return nil
+		})
+		f.platform.SetDown(false)
+		f.within(silentBound, "fleet starts", f.allHave(1))
+		f.within(silentBound, "all are alive", f.allAlive)
+	})
+}
+
+// Guards against callers' agents that are lost when many entries change at
+// once.
+func TestHalfOfEntriesReplaced(t *testing.T) {
+	inRunningFleet(t, func(_ *testing.T, f *fleet) {
+		f.publish(1)
+		for i, p := range f.ofRole(rtplatform.RoleEntry) {
+			if i%2 == 0 {
+				f.replace(p)
+			}
+		}
+		f.list(2 * time.Second)
+		f.within(startBound, "fleet starts", f.allHave(2))
+		f.within(newsBound, "all are alive", f.allAlive)
+	})
+}
+
+// Guards against a version that is lost or goes back when every process is
+// replaced while only peers know it.
+func TestRollingReplacementKeepsVersion(t *testing.T) {
+	inRunningFleet(t, func(_ *testing.T, f *fleet) {
+		f.publish(1)
+		f.within(newsBound, "version 2 spreads", f.allHave(2))
+		f.platform.SetDown(true)
+		for _, p := range append(f.ofRole(rtplatform.RoleAgent), f.ofRole(rtplatform.RoleEntry)...) {
+			seeds := []rtid.Address{f.processes[0].member.Address, f.processes[len(f.processes)-1].member.Address}
+			f.replace(p, seeds...)
+			f.within(startBound, "successor starts", f.allHave(2))
+		}
+		f.platform.SetStale(1)
+		f.platform.SetDown(false)
+		f.list(0)
+		f.during(75*time.Second, "nobody reverts", f.allHave(2))
+		f.within(silentBound, "all are alive", f.allAlive)
+	})
+}
+
+// Guards against a list of VMs that overrules heartbeats.
+func TestListLags(t *testing.T) {
+	inRunningFleet(t, func(t *testing.T, f *fleet) {
+		f.within(newsBound, "all are alive", f.allAlive)
+		agent := f.ofRole(rtplatform.RoleAgent)[0]
+		var members []rtplatform.Member
+		for _, p := range f.processes {
+			if p != agent {
+				members = append(members, p.member)
+			}
+		}
+		f.platform.SetVMs(members, 0)
+		f.during(20*time.Second, "the agent answers", f.allAlive)
+		f.kill(agent)
+		f.within(newsBound, "the agent is gone", func() error {
+			for _, entry := range f.ofRole(rtplatform.RoleEntry) {
+				if _, found := entry.node.Find(agent.member.Target); found {
+					return fmt.Errorf("%s knows it", entry.member.VM)
+				}
+			}
+			return nil
+		})
+	})
+}
+
+// Guards against an old process that hides the new one on the same target.
+func TestNewIncarnationReplacesOld(t *testing.T) {
+	inRunningFleet(t, func(t *testing.T, f *fleet) {
+		f.within(newsBound, "all are alive", f.allAlive)
+		old := f.ofRole(rtplatform.RoleAgent)[0]
+		late := old.node.Status()
+		f.replace(old)
+		f.list(0)
+		f.within(newsBound, "the successor is known", f.allAlive)
+		for _, entry := range f.ofRole(rtplatform.RoleEntry) {
+			entry.node.Observe(late)
+		}
+		f.during(20*time.Second, "the successor stays", f.allAlive)
+	})
+}
+
+// Guards against work sent to a process that is leaving: the bound is that of
+// invariant 8.
+func TestLeavingIsKnown(t *testing.T) {
+	inRunningFleet(t, func(_ *testing.T, f *fleet) {
+		f.within(newsBound, "all are alive", f.allAlive)
+		agent := f.ofRole(rtplatform.RoleAgent)[0]
+		agent.node.SetLeaving()
+		f.within(newsBound, "entries know", func() error {
+			for _, entry := range f.ofRole(rtplatform.RoleEntry) {
+				if view, _ := entry.node.Find(agent.member.Target); !view.Leaving {
+					return fmt.Errorf("%s does not", entry.member.VM)
+				}
+			}
+			return nil
+		})
+	})
+}
+
+// Guards against a refused document that blocks the next one or hides in the
+// status, and against reading it again and again.
+func TestRefusedDocumentBetweenGoodOnes(t *testing.T) {
+	inRunningFleet(t, func(t *testing.T, f *fleet) {
+		f.platform.Publish([]byte(`{"revision": "none"}`))
+		before, _ := f.platform.Calls()
+		f.during(time.Minute, "version 1 stays", f.allHave(1))
+		after, _ := f.platform.Calls()
+		if calls := after - before; calls > 12*len(f.readers()) {
+			t.Errorf("%d calls of the platform in a minute", calls)
+		}
+		reader := f.readers()[0].node
+		if refused := reader.Dump().Configuration.Refused; refused == nil || refused.Version != 2 || len(refused.Findings) == 0 {
+			t.Errorf("refused is %+v, want version 2 with findings", refused)
+		}
+		f.publish(1)
+		f.within(newsBound, "version 3 spreads", f.allHave(3))
+		if refused := reader.Dump().Configuration.Refused; refused != nil {
+			t.Errorf("refused is %+v after a newer document", refused)
+		}
+	})
+}
+
+// Guards against a platform that goes back taking the fleet with it.
+func TestRolledBackPublication(t *testing.T) {
+	inRunningFleet(t, func(t *testing.T, f *fleet) {
+		first := f.body(0)
+		f.publish(1)
+		f.publish(2)
+		f.within(newsBound, "version 3 spreads", f.allHave(3))
+		f.platform.PublishVersion(2, first)
+		f.replace(f.ofRole(rtplatform.RoleEntry)[0])
+		f.within(startBound, "the successor starts", f.allHave(3))
+		// Without readers, other processes read the older version.
+		for _, reader := range f.readers() {
+			f.network.CutBoth(reader.host, platformHost)
+		}
+		f.during(75*time.Second, "nobody reverts", f.allHave(3))
+		if reverted(f) == 0 {
+			t.Error("no process counted the older version")
+		}
+		for _, reader := range f.readers() {
+			f.network.Heal(reader.host, platformHost)
+		}
+		f.publish(3)
+		f.within(newsBound, "version 4 spreads", f.allHave(4))
+	})
+}
+
+func reverted(f *fleet) uint64 {
+	var total uint64
+	for _, p := range f.processes {
+		total += p.node.Dump().Configuration.Counts.Reverted
+	}
+	return total
+}
+
+// Guards against processes that differ after two publications from one base.
+func TestTwoPublicationsFromOneBase(t *testing.T) {
+	inRunningFleet(t, func(t *testing.T, f *fleet) {
+		f.publish(1)
+		f.within(newsBound, "version 2 spreads", f.allHave(2))
+		f.publish(1)
+		f.within(newsBound, "version 3 spreads", f.allHave(3))
+		for _, p := range f.processes {
+			if conflicts := p.node.Dump().Configuration.Counts.Conflicts; conflicts != 1 {
+				t.Errorf("%s counted %d conflicts, want 1", p.member.VM, conflicts)
+			}
+		}
+	})
+}
+
+// Guards against load on the platform that grows with the fleet: only the
+// designated readers hold watches, also after a failure of the platform.
+func TestCallsOfPlatform(t *testing.T) {
+	inRunningFleet(t, func(t *testing.T, f *fleet) {
+		readers := len(f.readers())
+		if readers != 2*zones {
+			t.Fatalf("%d designated readers, want %d", readers, 2*zones)
+		}
+		f.pass(10 * time.Second)
+		if _, watches := f.platform.Calls(); watches != 2*readers {
+			t.Errorf("%d watches wait, want %d", watches, 2*readers)
+		}
+		steady := f.callsIn(2 * time.Minute)
+		// Each reader holds two watches of 30 s.
+		if limit := readers * 2 * 4; steady > limit+readers {
+			t.Errorf("%d calls in 2 min, want at most %d", steady, limit)
+		}
+		f.platform.SetDown(true)
+		down := f.callsIn(2 * time.Minute)
+		// Readers try every 2 to 4 s, the others every 30 to 60 s.
+		if limit := readers*2*60 + len(f.processes)*4; down > limit {
+			t.Errorf("%d calls in 2 min without the platform, want at most %d", down, limit)
+		}
+		t.Logf("%d processes: %d calls in 2 min, %d while the platform is down", len(f.processes), steady, down)
+		f.platform.SetDown(false)
+		f.publish(1)
+		f.within(newsBound, "version 2 spreads", f.allHave(2))
+	})
+}
+
+func (f *fleet) callsIn(duration time.Duration) int {
+	before, _ := f.platform.Calls()
+	f.pass(duration)
+	after, _ := f.platform.Calls()
+	return after - before
+}
--- /dev/null
+++ b/internal/rtnode/fleet_test.go
@@ -0,0 +1,299 @@
+package rtnode_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+// Bounds of the design page at today's size.
+const (
+	newsBound  = 5 * time.Second
+	startBound = 10 * time.Second
+	// silentBound is how long readers may be silent before others read: 30 s,
+	// the longest jitter, and the time to find out.
+	silentBound = 75 * time.Second
+)
+
+const (
+	platformHost = "10.9.0.1"
+	platformPort = rtid.Address(platformHost + ":80")
+	zones        = 3
+	entries      = 9
+	agents       = 26
+	service      = rtid.Service("summaries")
+)
+
+// process is a node with its listener.
+type process struct {
+	member rtplatform.Member
+	host   string
+	node   *rtnode.Node
+	tasks  []*rttask.Task
+}
+
+// fleet is many processes and a platform in one bubble of virtual time.
+type fleet struct {
+	t         *testing.T
+	network   *rtfake.Network
+	platform  *rtfake.Platform
+	processes []*process
+	hosts     int
+	revision  rtid.Revision
+}
+
+// inFleet runs a test with a platform and no processes.
+func inFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		latency := func(string, string) rtfake.Latency { return rtfake.Latency{Base: 3 * time.Millisecond} }
+		f := &fleet{t: t, network: &rtfake.Network{Seed: 1, Default: latency}, platform: &rtfake.Platform{}}
+		t.Cleanup(f.network.Close)
+		f.serve(platformPort, f.platform)
+		test(t, f)
+	})
+}
+
+// inRunningFleet runs a test with a fleet of today's size that has started.
+func inRunningFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.publish(0)
+		f.build()
+		f.startAll()
+		f.within(startBound, "fleet starts", f.allHave(1))
+		test(t, f)
+	})
+}
+
+func (f *fleet) serve(address rtid.Address, handler http.Handler) *rttask.Task {
+	f.t.Helper()
+	listener, err := f.network.Listen(address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	task := rttask.Start(f.t.Context(), "serve", func(ctx context.Context) error {
+		return rtfake.Serve(ctx, listener, handler)
+	})
+	f.t.Cleanup(func() { f.stopTask(task) })
+	return task
+}
+
+func (f *fleet) stopTask(task *rttask.Task) {
+	if err := task.Stop(); err != nil && !errors.Is(err, net.ErrClosed) {
+		f.t.Error(err)
+	}
+}
+
+// build makes entries and agents over three zones and lists them.
+func (f *fleet) build() {
+	for i := range entries {
+		f.add(rtplatform.Member{Role: rtplatform.RoleEntry, Zone: zoneOf(i)})
+	}
+	for i := range agents {
+		target := rtid.Target(fmt.Sprintf("target-%02d", i))
+		f.add(rtplatform.Member{Role: rtplatform.RoleAgent, Zone: zoneOf(i), Target: target, Service: service})
+	}
+	f.list(0)
+}
+
+func zoneOf(i int) rtid.Zone { return rtid.Zone(fmt.Sprintf("zone-%d", i%zones)) }
+
+// add makes a process that has not started, on a host of its own.
+func (f *fleet) add(member rtplatform.Member) *process {
+	f.hosts++
+	host := fmt.Sprintf("10.0.%d.%d", f.hosts/200, f.hosts%200+1)
+	member.VM = rtid.VM(fmt.Sprintf("%s-%d", member.Role, f.hosts))
+	member.Address = rtid.Address(host + ":7000")
+	member.State = rtplatform.StateLive
+	p := &process{member: member, host: host}
+	f.processes = append(f.processes, p)
+	return p
+}
+
+// list publishes the list of VMs of the processes there are.
+func (f *fleet) list(lag time.Duration) {
+	var members []rtplatform.Member
+	for _, p := range f.processes {
+		members = append(members, p.member)
+	}
+	f.platform.SetVMs(members, lag)
+}
+
+// publish publishes a valid document made from a base.
+func (f *fleet) publish(base rtid.Revision) rtid.Version {
+	f.revision++
+	return f.platform.Publish(f.body(base))
+}
+
+func (f *fleet) body(base rtid.Revision) []byte {
+	document := rtdocument.Document{Revision: f.revision, Base: base}
+	document.Services = []rtdocument.Service{{Name: service, Kind: rtdocument.KindDraft, Model: "court-1"}}
+	for i := range zones {
+		capacity := map[rtid.Service]float64{service: 10}
+		zone := rtdocument.Zone{Name: zoneOf(i), State: rtdocument.StateIn, Capacity: capacity}
+		document.Zones = append(document.Zones, zone)
+	}
+	document.Organisations = []rtdocument.Organisation{{Name: "high-court", Services: []rtid.Service{service}, Share: 1}}
+	body, err := rtdocument.Encode(&document)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return body
+}
+
+func (f *fleet) startAll(seeds ...rtid.Address) {
+	for _, p := range f.processes {
+		f.start(p, seeds...)
+	}
+}
+
+// start starts a process with a new incarnation.
+func (f *fleet) start(p *process, seeds ...rtid.Address) {
+	role := rtwire.Role_ROLE_ENTRY
+	if p.member.Role == rtplatform.RoleAgent {
+		role = rtwire.Role_ROLE_AGENT
+	}
+	p.node = rtnode.New(rtnode.Options{
+		Settings: rtsettings.Common{
+			VM: p.member.VM, Zone: p.member.Zone, Peers: p.member.Address, Platform: platformPort, Seeds: seeds,
+		},
+		Role:    role,
+		Network: f.network.Host(p.host),
+		Log:     logr.Discard(),
+		Target:  p.member.Target,
+		Service: p.member.Service,
+	})
+	run := rttask.Start(f.t.Context(), "node", p.node.Run)
+	f.t.Cleanup(func() { f.stopTask(run) })
+	p.tasks = []*rttask.Task{run, f.serve(p.member.Address, p.node.Handler())}
+}
+
+// kill ends a process without notice and removes it from the fleet.
+func (f *fleet) kill(p *process) {
+	for _, task := range p.tasks {
+		f.stopTask(task)
+	}
+	f.network.Kill(p.host)
+	f.processes = slices.DeleteFunc(f.processes, func(other *process) bool { return other == p })
+}
+
+// replace kills a process and starts one with its part on a new VM.
+func (f *fleet) replace(p *process, seeds ...rtid.Address) *process {
+	f.kill(p)
+	next := f.add(p.member)
+	f.start(next, seeds...)
+	return next
+}
+
+func (f *fleet) ofRole(role rtplatform.Role) []*process {
+	var found []*process
+	for _, p := range f.processes {
+		if p.member.Role == role {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+func (f *fleet) readers() []*process {
+	var found []*process
+	for _, p := range f.processes {
+		if p.node.Dump().Reader {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+// cutPlatform cuts all hosts but some from the platform.
+func (f *fleet) cutPlatform(except ...*process) {
+	for _, p := range f.processes {
+		if !slices.Contains(except, p) {
+			f.network.CutBoth(p.host, platformHost)
+		}
+	}
+}
+
+func (f *fleet) allHave(version rtid.Version) func() error {
+	return func() error {
+		for _, p := range f.processes {
+			if held, _ := p.node.Document(); held != version {
+				return fmt.Errorf("%s has version %d, want %d", p.member.VM, held, version)
+			}
+			select {
+			case <-p.node.Started():
+			default:
+				return fmt.Errorf("%s has not started", p.member.VM)
+			}
+		}
+		return nil
+	}
+}
+
+// allAlive checks that every entry finds every agent alive at its address.
+func (f *fleet) allAlive() error {
+	for _, entry := range f.ofRole(rtplatform.RoleEntry) {
+		views := entry.node.Targets(service)
+		if len(views) != len(f.ofRole(rtplatform.RoleAgent)) {
+			return fmt.Errorf("%s knows %d agents", entry.member.VM, len(views))
+		}
+		for _, agent := range f.ofRole(rtplatform.RoleAgent) {
+			view, _ := entry.node.Find(agent.member.Target)
+			if !view.Alive || view.Address != agent.member.Address {
+				return fmt.Errorf("%s finds %s alive %v at %s", entry.member.VM, view.Target, view.Alive, view.Address)
+			}
+		}
+	}
+	return nil
+}
+
+// step is how often a condition is looked at.
+const step = 100 * time.Millisecond
+
+// within fails the test if a condition does not come true within a bound of
+// virtual time.
+func (f *fleet) within(bound time.Duration, what string, condition func() error) {
+	f.t.Helper()
+	var err error
+	for began := time.Now(); time.Since(began) <= bound; f.pass(step) {
+		if err = condition(); err == nil {
+			f.t.Logf("%s: after %v", what, time.Since(began))
+			return
+		}
+	}
+	f.t.Fatalf("%s: not within %v: %v", what, bound, err)
+}
+
+// during fails the test if a condition is false at any step.
+func (f *fleet) during(duration time.Duration, what string, condition func() error) {
+	f.t.Helper()
+	for began := time.Now(); time.Since(began) <= duration; f.pass(step) {
+		if err := condition(); err != nil {
+			f.t.Fatalf("%s: after %v: %v", what, time.Since(began), err)
+		}
+	}
+}
+
+// pass lets virtual time pass.
+func (f *fleet) pass(duration time.Duration) {
+	<-time.After(duration)
+	synctest.Wait()
+}
--- a/internal/rtnode/heartbeat.go
+++ b/internal/rtnode/heartbeat.go
@@ -16,24 +16,35 @@
 // divisor, so that the entries do not beat in step.
 const jitterParts = 10
 
-// setInterval sets the interval of heartbeats for the list of VMs held. All
-// processes compute it from their own list, so that agents know how long an
-// entry may be silent. n.mu is held, or n is not shared yet.
+// setInterval sets the interval of heartbeats for the list of VMs held. An
+// agent allows entries the longest interval, that of a reader. n.mu is held,
+// or n is not shared yet.
 func (n *Node) setInterval() {
 	base := time.Duration(n.options.Settings.Heartbeat)
 	if base <= 0 {
 		base = defaultHeartbeat
 	}
-	entries, agents := 0, 0
+	fleet := n.fleet()
+	var reading rtid.Bytes
+	if n.reader || n.self.Role == rtplatform.RoleAgent {
+		list := rtid.Bytes(fleet.Entries+fleet.Agents) * lineSize
+		reading = rtmember.ReaderCost(rtid.Bytes(len(n.store.Current().Body)), list)
+	}
+	n.interval = rtmember.Interval(base, fleet, reading)
+	n.table.Silence = rtmember.AliveIntervals * n.interval
+}
+
+func (n *Node) fleet() rtmember.Fleet {
+	var fleet rtmember.Fleet
 	for _, member := range n.table.Roster().Members() {
 		if member.Role == rtplatform.RoleAgent {
-			agents++
+			fleet.Agents++
 		} else {
-			entries++
+			fleet.Entries++
 		}
 	}
-	n.interval = rtmember.Interval(base, min(agents, rtmember.SubsetLimit), entries, agents)
-	n.table.Silence = rtmember.AliveIntervals * n.interval
+	fleet.Subset = min(fleet.Agents, rtmember.SubsetLimit)
+	return fleet
 }
 
 // keepTable forgets silent processes and, in an entry, keeps one task of
@@ -54,6 +65,7 @@
 func (n *Node) updateSubset(now time.Time) ([]rtplatform.Member, time.Duration, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.setInterval()
 	n.table.Prune(now)
 	if n.self.Role == rtplatform.RoleEntry {
 		n.subset = rtmember.Subset(n.self, n.table.Candidates(now), rtmember.SubsetLimit)
--- a/internal/rtnode/node.go
+++ b/internal/rtnode/node.go
@@ -3,7 +3,6 @@
 package rtnode
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
@@ -51,11 +50,11 @@
 type Node struct {
 	options  Options
 	self     rtplatform.Member
-	client   *http.Client
-	peers    rtwire.HTTPClient
-	platform platform
+	peers    peerClient
+	platform rtplatform.Client
 	store    *rtconfig.Store
 	counters counters
+	packed   packed
 	started  chan struct{}
 	pulls    chan *rtwire.Status // peers that know more than this process
 
@@ -68,7 +67,9 @@
 	begun       time.Time     // start of Run
 	table       rtmember.Table
 	reader      bool                           // designated reader by the list of VMs
-	listChanged chan struct{}                  // closed at the next change of the list of VMs
+	acting      bool                           // reads because the readers were silent
+	confirmedBy bool                           // another process confirmed while acting
+	listChanged chan struct{}                  // closed at the next change of the list of VMs or of acting
 	subset      []rtplatform.Member            // agents that get heartbeats, sorted by VM
 	targets     map[rtid.Service][]rtid.Target // of the subset, sorted
 	interval    time.Duration                  // of heartbeats
@@ -83,12 +84,10 @@
 	if options.Metrics == nil {
 		options.Metrics = tally.NoopScope
 	}
-	client := rtnet.Client(options.Network)
 	node := &Node{
 		options:     options,
-		client:      client,
-		peers:       boundedClient{client: client, limit: maxMessage},
-		platform:    platform{client: client, address: options.Settings.Platform},
+		peers:       newPeerClient(options.Network),
+		platform:    rtplatform.Client{HTTP: rtnet.Client(options.Network), Address: options.Settings.Platform},
 		store:       rtconfig.New(rtdocument.Decode),
 		counters:    newCounters(options.Metrics),
 		started:     make(chan struct{}),
@@ -99,7 +98,6 @@
 		listChanged: make(chan struct{}),
 		pulling:     make(map[pullKind]pull),
 	}
-	node.platform.count = node.counters.platformCalls
 	node.self = selfOf(options)
 	node.setInterval()
 	return node
--- a/internal/rtnode/peer.go
+++ b/internal/rtnode/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 )
 
@@ -27,7 +28,13 @@
 
 // Handler returns the handler of the Peer service.
 func (n *Node) Handler() http.Handler {
-	return http.MaxBytesHandler(rtwire.NewPeerServer(peerServer{node: n}), int64(maxMessage))
+	server := rtwire.NewPeerServer(peerServer{node: n})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// No peer reads the date; it is a tenth of the answer to a Hello.
+		w.Header()["Date"] = nil
+		r.Body = http.MaxBytesReader(w, r.Body, int64(maxMessage))
+		server.ServeHTTP(w, r)
+	})
 }
 
 // Hello takes in the caller's status and returns the status of this process.
@@ -42,7 +49,7 @@
 	current := s.node.store.Current()
 	reply := &rtwire.DocumentReply{Version: uint64(current.Version)}
 	if reply.Version > request.After {
-		reply.Body = current.Body
+		reply.Body = s.node.packed.of(current)
 	}
 	return reply, nil
 }
@@ -80,19 +87,32 @@
 	return reply, nil
 }
 
-// boundedClient cuts off replies over a limit, which then fail to decode.
-type boundedClient struct {
+// peerClient is the HTTP client of control calls. It leaves out headers that
+// the server ignores, a third of a Hello, and cuts off replies over
+// maxMessage, which then fail to decode.
+type peerClient struct {
 	client *http.Client
-	limit  rtid.Bytes
+}
+
+func newPeerClient(network rtnet.Network) peerClient {
+	client := rtnet.Client(network)
+	if transport, ok := client.Transport.(*http.Transport); ok {
+		// Documents are packed already, and the header costs bytes.
+		transport.DisableCompression = true
+	}
+	return peerClient{client: client}
 }
 
 // Do sends a request.
-func (c boundedClient) Do(request *http.Request) (*http.Response, error) {
+func (c peerClient) Do(request *http.Request) (*http.Response, error) {
+	request.Header.Del("Accept")
+	request.Header.Del("Twirp-Version")
+	request.Header.Set("User-Agent", "") // an empty value keeps the default out
 	response, err := c.client.Do(request)
 	if err != nil {
 		return nil, err
 	}
-	response.Body = boundedBody{Reader: io.LimitReader(response.Body, int64(c.limit)), Closer: response.Body}
+	response.Body = boundedBody{Reader: io.LimitReader(response.Body, int64(maxMessage)), Closer: response.Body}
 	return response, nil
 }
 
--- a/internal/rtnode/pull.go
+++ b/internal/rtnode/pull.go
@@ -106,10 +106,16 @@
 	if err != nil {
 		return err
 	}
-	if len(reply.Body) > 0 {
-		n.counters.documentsPulled.Inc(1)
-		n.offer(rtid.Version(reply.Version), reply.Body)
+	if len(reply.Body) == 0 {
+		return nil
+	}
+	body, err := unpack(reply.Body)
+	if err != nil {
+		n.counters.malformed.Inc(1)
+		return err
 	}
+	n.counters.documentsPulled.Inc(1)
+	n.offer(rtid.Version(reply.Version), body)
 	return nil
 }
 
--- a/internal/rtnode/reader.go
+++ b/internal/rtnode/reader.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtconfig"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmember"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
 )
 
 const (
@@ -27,10 +28,13 @@
 	// a fault of the platform and followed by a delay.
 	shortestWatch = time.Second
 
-	// listBudget is what a reader may spend on the list of VMs, in bytes per
-	// second. The platform sends the whole list at each change. The readers
-	// get it at different times, and the difference spreads from the first.
-	listBudget = 4_000
+	// actingReaders is about how many processes read the platform while the
+	// designated readers are silent, if all processes find that out at once.
+	actingReaders = 100
+
+	// lineSize is the size of one line of the list as the platform sends it,
+	// in bytes: 165 with the names of a large fleet.
+	lineSize = 165
 )
 
 // Delays after failed calls of the platform.
@@ -47,13 +51,13 @@
 	delays := backoff{first: readerFirst, last: readerLast}
 	for n.awaitReader(ctx) {
 		began := time.Now()
-		call, cancel := context.WithTimeout(ctx, watchLimit)
-		found, err := n.platform.watchDocument(call, n.store.Seen())
-		cancel()
-		news := err == nil && n.takeDocument(found)
-		quiet := errors.Is(err, errNothingNewer) && time.Since(began) >= shortestWatch
+		n.counters.platformCalls.Inc(1)
+		version, body, err := n.platform.Watch(ctx, n.store.Seen())
+		news := version > 0 && n.takeDocument(version, body)
+		quiet := err == nil && version == 0 && time.Since(began) >= shortestWatch
 		if quiet {
 			n.confirm()
+			n.reviewActing()
 		}
 		if news || quiet {
 			delays.reset()
@@ -64,8 +68,8 @@
 	return nil
 }
 
-// awaitReader waits until this process has started and is a designated
-// reader. It returns false when the context ends.
+// awaitReader waits until this process has started and is a designated or
+// acting reader. It returns false when the context ends.
 func (n *Node) awaitReader(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
@@ -74,7 +78,7 @@
 	}
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		reader, changed := n.reader, n.listChanged
+		reader, changed := n.reader || n.acting, n.listChanged
 		n.mu.Unlock()
 		if reader {
 			return true
@@ -89,9 +93,9 @@
 
 // takeDocument takes in a document of the platform and reports whether it was
 // news. The version in force is confirmed by anything but an older document.
-func (n *Node) takeDocument(found answer) bool {
-	result := n.offer(found.version, found.body)
-	if found.version >= n.store.Current().Version {
+func (n *Node) takeDocument(version rtid.Version, body []byte) bool {
+	result := n.offer(version, body)
+	if version >= n.store.Current().Version {
 		n.confirm()
 	}
 	return result == rtconfig.Accepted
@@ -110,14 +114,16 @@
 			delays.last = otherLast
 		}
 		began := time.Now()
-		call, cancel := context.WithTimeout(ctx, watchLimit)
-		found, err := n.platform.watchList(call, n.rosterVersion())
-		cancel()
+		n.counters.platformCalls.Inc(1)
+		version, members, err := n.platform.VMs(ctx, n.rosterVersion())
 		switch {
-		case err == nil && n.takeList(found):
+		case version > 0 && n.takeList(version, members):
 			delays.reset()
-			pause(ctx, time.Duration(len(found.body))*time.Second/listBudget)
-		case errors.Is(err, errNothingNewer) && time.Since(began) >= shortestWatch:
+			// The other readers get the list at other times, and the
+			// difference spreads from the first of them.
+			size := time.Duration(len(members) * lineSize)
+			pause(ctx, size*time.Second/time.Duration(rtmember.ListBudget))
+		case err == nil && time.Since(began) >= shortestWatch:
 			delays.reset()
 		default:
 			pause(ctx, delays.next())
@@ -127,12 +133,16 @@
 }
 
 // takeList takes in a list of the platform and reports whether it was news.
-func (n *Node) takeList(found answer) bool {
-	delta, dropped, err := decodeList(found)
-	n.counters.malformed.Inc(int64(dropped))
-	if err != nil {
-		n.options.Log.Error(err, "list of VMs refused", "version", found.version)
-		return false
+// Malformed lines are left out, so that one of them does not hide the rest.
+func (n *Node) takeList(version rtid.Version, members []rtplatform.Member) bool {
+	delta := rtmember.Delta{Version: version}
+	for _, member := range members {
+		if err := checkMember(member); err != nil {
+			n.counters.malformed.Inc(1)
+			n.options.Log.Info("dropped line of the list of VMs", "error", err.Error())
+			continue
+		}
+		delta.Members = append(delta.Members, member)
 	}
 	return n.applyRoster(delta)
 }
@@ -171,6 +181,7 @@
 		}
 		if n.readPlatform(ctx) {
 			delays.reset()
+			n.actAsReader()
 			continue
 		}
 		pause(ctx, delays.next())
@@ -178,6 +189,33 @@
 	return nil
 }
 
+// actAsReader makes this process watch the platform beside the designated
+// readers, which it did not hear. In a large fleet only some of the processes
+// that read without readers do so.
+func (n *Node) actAsReader() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.reader || n.acting || rand.N(max(1, len(n.table.Roster().Members()))) >= actingReaders {
+		return
+	}
+	n.acting = true
+	n.confirmedBy = false
+	close(n.listChanged)
+	n.listChanged = make(chan struct{})
+}
+
+// reviewActing ends the part of an acting reader by chance if another reader
+// is heard. Not all of them end at once, so that one remains while the
+// designated readers are silent.
+func (n *Node) reviewActing() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.confirmedBy && rand.N(2) == 0 {
+		n.acting = false
+	}
+	n.confirmedBy = false
+}
+
 // lastConfirmed returns when the version in force was last confirmed, or the
 // start of Run.
 func (n *Node) lastConfirmed() time.Time {
@@ -194,16 +232,18 @@
 func (n *Node) readPlatform(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	found, err := n.platform.readDocument(ctx)
-	if err != nil && !errors.Is(err, errNothingNewer) {
+	n.counters.platformCalls.Inc(1)
+	version, body, err := n.platform.Read(ctx)
+	if err != nil && !errors.Is(err, rtplatform.ErrNone) {
 		n.options.Log.V(1).Info("platform not read", "error", err.Error())
 		return false
 	}
 	if err == nil {
-		n.takeDocument(found)
+		n.takeDocument(version, body)
 	}
-	if list, err := n.platform.readList(ctx); err == nil {
-		n.takeList(list)
+	n.counters.platformCalls.Inc(1)
+	if list, members, err := n.platform.VMs(ctx, 0); err == nil {
+		n.takeList(list, members)
 	}
-	return err == nil && found.version >= n.store.Current().Version
+	return err == nil && version >= n.store.Current().Version
 }
--- a/internal/rtnode/run.go
+++ b/internal/rtnode/run.go
@@ -36,6 +36,7 @@
 	for _, task := range tasks {
 		errs = append(errs, <-task.Done())
 	}
-	n.client.CloseIdleConnections()
+	n.peers.client.CloseIdleConnections()
+	n.platform.HTTP.CloseIdleConnections()
 	return errors.Join(errs...)
 }
--- a/internal/rtnode/status.go
+++ b/internal/rtnode/status.go
@@ -79,6 +79,7 @@
 		found := made.Add(-status.Confirmed.AsDuration())
 		if found.Sub(n.confirmed) > confirmationStep {
 			n.confirmed = found
+			n.confirmedBy = true
 		}
 	}
 	return true
