Add tests of configuration store and membership, and benchmarks of control

Change: table tests, benchmarks at 20 to 10,000 targets, benchmarks of exchanges over loopback and of memory, and a model of the spread of news at the size to design for.

--- /dev/null
+++ b/internal/rtconfig/store_test.go
@@ -0,0 +1,116 @@
+package rtconfig
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfinding"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+// body returns a document that the decoder of the tests accepts.
+func body(revision, base rtid.Revision) string {
+	encoded, _ := json.Marshal(rtdocument.Document{Revision: revision, Base: base})
+	return string(encoded)
+}
+
+// Guards against versions that go back, refused documents that replace good
+// ones or are checked again, and conflicts that are not counted.
+func TestOffer(t *testing.T) {
+	type offer struct {
+		version rtid.Version
+		body    string
+		want    Result
+	}
+	tests := []struct {
+		name    string
+		offers  []offer
+		current rtid.Version
+		refused rtid.Version
+		decoded int
+		counts  Counts
+	}{
+		{
+			"newer versions", []offer{{1, body(1, 0), Accepted}, {2, body(2, 1), Accepted}},
+			2, 0, 2, Counts{Accepted: 2},
+		},
+		{
+			"same and older versions", []offer{{5, body(1, 0), Accepted}, {5, body(9, 8), Older}, {4, body(2, 1), Older}},
+			5, 0, 1, Counts{Accepted: 1, Reverted: 1},
+		},
+		{
+			"version zero", []offer{{0, body(1, 0), Older}},
+			0, 0, 0, Counts{},
+		},
+		{
+			"refused is checked once", []offer{{1, body(1, 0), Accepted}, {2, "{", Refused}, {2, "{", Refused}},
+			1, 2, 2, Counts{Accepted: 1, Refused: 1},
+		},
+		{
+			"other body under a refused version", []offer{{2, "{", Refused}, {2, body(2, 1), Accepted}},
+			2, 0, 2, Counts{Accepted: 1, Refused: 1},
+		},
+		{
+			"good one between the held and a refused one", []offer{{1, body(1, 0), Accepted}, {3, "{", Refused}, {2, body(2, 1), Accepted}},
+			2, 3, 3, Counts{Accepted: 2, Refused: 1},
+		},
+		{
+			"newer one after a refused one", []offer{{1, "{", Refused}, {2, body(2, 1), Accepted}},
+			2, 0, 2, Counts{Accepted: 1, Refused: 1},
+		},
+		{
+			"two from one base", []offer{{1, body(1, 0), Accepted}, {2, body(2, 1), Accepted}, {3, body(3, 1), Accepted}},
+			3, 0, 3, Counts{Accepted: 3, Conflicts: 1},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			decoded := 0
+			store := New(func(body []byte) (document rtdocument.Document, findings rtfinding.List) {
+				decoded++
+				if err := json.Unmarshal(body, &document); err != nil {
+					findings.Add(rtfinding.Place{}, "%v", err)
+				}
+				return document, findings
+			})
+			for i, offer := range test.offers {
+				if got := store.Offer(offer.version, []byte(offer.body)); got != offer.want {
+					t.Errorf("offer %d: %d, want %d", i, got, offer.want)
+				}
+			}
+			refusal, _ := store.Refusal()
+			if store.Current().Version != test.current || refusal.Version != test.refused {
+				t.Errorf("in force %d, refused %d, want %d, %d", store.Current().Version, refusal.Version, test.current, test.refused)
+			}
+			if decoded != test.decoded {
+				t.Errorf("%d documents checked, want %d", decoded, test.decoded)
+			}
+			if store.Counts() != test.counts {
+				t.Errorf("counts %+v, want %+v", store.Counts(), test.counts)
+			}
+		})
+	}
+}
+
+// Guards against a watch after the version in force that returns a refused
+// document again and again, and against waiters that miss a change.
+func TestSeenAndChanged(t *testing.T) {
+	store := New(rtdocument.Decode)
+	changed := store.Changed()
+	store.Offer(7, []byte("{"))
+	if store.Seen() != 7 || store.Wants(7) || !store.Wants(8) {
+		t.Errorf("seen %d, wants 7 %v, wants 8 %v", store.Seen(), store.Wants(7), store.Wants(8))
+	}
+	select {
+	case <-changed:
+		t.Error("changed by a refused document")
+	default:
+	}
+	for version := range rtid.Version(2 * keptRefusals) {
+		store.Offer(version+10, []byte("{"))
+	}
+	if len(store.refusals) != keptRefusals {
+		t.Errorf("%d refusals kept, want %d", len(store.refusals), keptRefusals)
+	}
+}
--- /dev/null
+++ b/internal/rtmember/table_test.go
@@ -0,0 +1,170 @@
+package rtmember
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func statusOf(member rtplatform.Member, incarnation uint64) *rtwire.Status {
+	return &rtwire.Status{
+		Vm: string(member.VM), Role: rtwire.Role_ROLE_AGENT, Zone: string(member.Zone), Address: string(member.Address),
+		Incarnation: incarnation, Target: string(member.Target), Service: string(member.Service),
+	}
+}
+
+// Guards against a list that overrules heartbeats and an old process that
+// hides a new one.
+func TestTableJoinsListAndHeartbeats(t *testing.T) {
+	old := agentOf("old", 0, 0)
+	successor := agentOf("new", 0, 0)
+	successor.Target = old.Target
+	leaving := old
+	leaving.State = rtplatform.StateLeaving
+	type heard struct {
+		member      rtplatform.Member
+		incarnation uint64
+		at          time.Duration
+	}
+	tests := []struct {
+		name    string
+		list    []rtplatform.Member
+		heard   []heard
+		now     time.Duration
+		vm      rtid.VM // empty: not found
+		alive   bool
+		leaving bool
+	}{
+		{"nothing known", nil, nil, 0, "", false, false},
+		{"listed, never heard", []rtplatform.Member{old}, nil, 0, "old", false, false},
+		{"listed and heard", []rtplatform.Member{old}, []heard{{old, 1, 0}}, 0, "old", true, false},
+		{"heard, list lost it", nil, []heard{{old, 1, 0}}, time.Second, "old", true, false},
+		{"unlisted and silent", nil, []heard{{old, 1, 0}}, 4 * time.Second, "", false, false},
+		{"listed and silent", []rtplatform.Member{old}, []heard{{old, 1, 0}}, 4 * time.Second, "old", false, false},
+		{"list says leaving", []rtplatform.Member{leaving}, []heard{{old, 1, 0}}, 0, "old", true, true},
+		{"live one before the leaving one", []rtplatform.Member{leaving, successor}, nil, 0, "new", false, false},
+		{"new incarnation replaces", []rtplatform.Member{old}, []heard{{old, 1, 0}, {successor, 2, 0}}, 0, "new", true, false},
+		{"old incarnation does not", []rtplatform.Member{old}, []heard{{successor, 2, 0}, {old, 1, 0}}, 0, "new", true, false},
+		{"same VM, older incarnation", nil, []heard{{old, 2, 0}, {old, 1, 2 * time.Second}}, 4 * time.Second, "", false, false},
+		{"silent holder, list names another", []rtplatform.Member{successor}, []heard{{old, 1, 0}}, 4 * time.Second, "new", false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := Table{Silence: 3 * time.Second}
+			table.Apply(Delta{Version: 1, Members: test.list})
+			for _, h := range test.heard {
+				table.Observe(statusOf(h.member, h.incarnation), start.Add(h.at))
+			}
+			now := start.Add(test.now)
+			table.Prune(now)
+			agent, found := table.Find(old.Target, now)
+			if found != (test.vm != "") || agent.Member.VM != test.vm {
+				t.Fatalf("found %q, want %q", agent.Member.VM, test.vm)
+			}
+			if agent.Alive != test.alive || agent.Leaving != test.leaving {
+				t.Errorf("alive %v, leaving %v, want %v, %v", agent.Alive, agent.Leaving, test.alive, test.leaving)
+			}
+		})
+	}
+}
+
+// Guards against a late status that takes back that an agent is leaving, and
+// against memory that grows with invented names.
+func TestTableBounds(t *testing.T) {
+	table := Table{Silence: time.Minute}
+	agent := agentOf("a", 0, 0)
+	leaving := statusOf(agent, 1)
+	leaving.Leaving = true
+	table.Observe(leaving, start)
+	table.Observe(statusOf(agent, 1), start)
+	if found, _ := table.Find(agent.Target, start); !found.Leaving {
+		t.Error("leaving was taken back")
+	}
+	for i := range maxHeard + 10 {
+		table.Observe(statusOf(agentOf(fmt.Sprint("b", i), 0, 0), 1), start)
+	}
+	if len(table.heard) != maxHeard {
+		t.Errorf("%d heard, want %d", len(table.heard), maxHeard)
+	}
+	table.Prune(start.Add(2 * time.Minute))
+	if len(table.heard) != 0 || len(table.holders) != 0 {
+		t.Errorf("%d heard and %d holders after silence", len(table.heard), len(table.holders))
+	}
+}
+
+// Guards against peers whose lists differ after they took in differences,
+// whatever versions they missed, and against lists that go back.
+func TestRosterDeltas(t *testing.T) {
+	a, b, c := agentOf("a", 0, 0), agentOf("b", 1, 0), agentOf("c", 2, 0)
+	changed := b
+	changed.State = rtplatform.StateLeaving
+	versions := [][]rtplatform.Member{nil, {a, b}, {a, changed}, {a, changed, c}, {a, c}, {b, c}}
+	for from := 1; from < len(versions); from++ {
+		for to := from; to < len(versions); to++ {
+			var source, peer Roster
+			for version := 1; version <= to; version++ {
+				source.Apply(Delta{Version: rtid.Version(version), Members: versions[version]})
+			}
+			peer.Apply(Delta{Version: rtid.Version(from), Members: versions[from]})
+			peer.Apply(source.Since(peer.Version()))
+			if !slices.Equal(peer.Members(), source.Members()) || peer.Version() != source.Version() {
+				t.Errorf("from %d to %d: %v, want %v", from, to, peer.Members(), source.Members())
+			}
+			if peer.Apply(Delta{Version: rtid.Version(to), Members: nil}) {
+				t.Errorf("from %d to %d: same version taken in again", from, to)
+			}
+			if peer.Apply(Delta{Base: 90, Version: 99}) {
+				t.Errorf("from %d to %d: delta with a gap taken in", from, to)
+			}
+		}
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	for _, size := range sizes {
+		members := fleetOf(0, size, 12, 9)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			table := Table{Silence: time.Minute}
+			table.Apply(Delta{Version: 1, Members: members})
+			for i := 0; b.Loop(); i++ {
+				table.Observe(statusOf(members[i%size], 1), start)
+			}
+		})
+	}
+}
+
+// One VM changes, as read by a designated reader: the whole list is new.
+func BenchmarkApplyList(b *testing.B) {
+	for _, size := range sizes {
+		members := fleetOf(size*23/100, size, 12, 9)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var table Table
+			for i := 0; b.Loop(); i++ {
+				members[0].Address = rtid.Address(fmt.Sprintf("10.0.0.1:%d", 1+i%2))
+				table.Apply(Delta{Version: rtid.Version(i + 1), Members: members})
+			}
+		})
+	}
+}
+
+// One VM changes, as learned from a peer.
+func BenchmarkApplyDelta(b *testing.B) {
+	for _, size := range sizes {
+		members := fleetOf(size*23/100, size, 12, 9)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var table Table
+			table.Apply(Delta{Version: 1, Members: members})
+			for i := 0; b.Loop(); i++ {
+				members[0].Address = rtid.Address(fmt.Sprintf("10.0.0.1:%d", 1+i%2))
+				table.Apply(Delta{Base: rtid.Version(i + 1), Version: rtid.Version(i + 2), Members: members[:1]})
+			}
+		})
+	}
+}
--- a/internal/rtnode/bench_test.go
+++ b/internal/rtnode/bench_test.go
@@ -1,17 +1,26 @@
 package rtnode
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtconfig"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtmember"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
@@ -31,8 +40,7 @@
 // countingNetwork is TCP that counts the bytes of its connections.
 type countingNetwork struct {
 	rtnet.TCP
-	bytes  atomic.Int64
-	writes atomic.Int64
+	bytes atomic.Int64
 }
 
 func (n *countingNetwork) Dial(ctx context.Context, address rtid.Address) (net.Conn, error) {
@@ -54,7 +62,6 @@
 func (c *countingConnection) Write(p []byte) (int, error) {
 	size, err := c.Conn.Write(p)
 	c.network.bytes.Add(int64(size))
-	c.network.writes.Add(1)
 	return size, err
 }
 
@@ -79,7 +86,10 @@
 	}
 	node := New(options)
 	node.incarnation = rtid.NewIncarnation(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
-	node.store.Offer(6_700, designDocument())
+	if node.store.Offer(6_700, designDocument()) != rtconfig.Accepted {
+		refusal, _ := node.store.Refusal()
+		panic(fmt.Sprint(refusal.Findings))
+	}
 	node.confirm()
 	return node
 }
@@ -87,6 +97,12 @@
 // servedPair returns an entry and an agent served over loopback TCP, and the
 // network of the entry.
 func servedPair(b *testing.B) (entry *Node, agent rtid.Address, network *countingNetwork) {
+	b.Helper()
+	entry, agent, network, _ = servedNodes(b)
+	return entry, agent, network
+}
+
+func servedNodes(b *testing.B) (entry *Node, agent rtid.Address, network *countingNetwork, node *Node) {
 	b.Helper()
 	network = &countingNetwork{}
 	listener, err := network.Listen("127.0.0.1:0")
@@ -94,36 +110,203 @@
 		b.Fatal(err)
 	}
 	agent = rtid.Address(listener.Addr().String())
-	node := newBenchNode(network, rtwire.Role_ROLE_AGENT, agent)
+	node = newBenchNode(network, rtwire.Role_ROLE_AGENT, agent)
 	server := &http.Server{Handler: node.Handler()}
 	task := rttask.Start(b.Context(), "serve", func(context.Context) error { return server.Serve(listener) })
 	b.Cleanup(func() {
-		_ = server.Close()
-		<-task.Done()
+		if err := errors.Join(server.Close(), <-task.Done()); !errors.Is(err, http.ErrServerClosed) {
+			b.Error(err)
+		}
 	})
-	return newBenchNode(network, rtwire.Role_ROLE_ENTRY, "127.0.0.1:1"), agent, network
+	return newBenchNode(network, rtwire.Role_ROLE_ENTRY, "127.0.0.1:1"), agent, network, node
 }
 
 // Processor time of both sides and bytes of one exchange over loopback.
 func BenchmarkHello(b *testing.B) {
 	entry, agent, network := servedPair(b)
-	if _, err := entry.hello(b.Context(), agent); err != nil {
+	measure(b, network, func() error {
+		_, err := entry.hello(b.Context(), agent)
+		return err
+	})
+}
+
+// Processor time of the side that serves: the other side only writes and
+// reads prepared bytes.
+func BenchmarkHelloServed(b *testing.B) {
+	entry, agent, network := servedPair(b)
+	connection, err := network.Dial(b.Context(), agent)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	request := helloRequest(b, entry, agent)
+	answer := make([]byte, 4<<10)
+	measure(b, network, func() error {
+		if _, err := connection.Write(request); err != nil {
+			return err
+		}
+		size, err := connection.Read(answer)
+		if err == nil && !bytes.HasPrefix(answer[:size], []byte("HTTP/1.1 200")) {
+			err = fmt.Errorf("answer %q", answer[:size])
+		}
+		return err
+	})
+}
+
+func helloRequest(b *testing.B, entry *Node, agent rtid.Address) []byte {
+	b.Helper()
+	body, err := proto.Marshal(entry.Status())
+	if err != nil {
+		b.Fatal(err)
+	}
+	head := fmt.Sprintf("POST %sHello HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\nContent-Type: application/protobuf\r\n\r\n",
+		rtwire.PeerPathPrefix, agent, len(body))
+	return append([]byte(head), body...)
+}
+
+// A new document, pulled from a peer over loopback, checked and packed for
+// the next peer.
+func BenchmarkDocumentPull(b *testing.B) {
+	entry, agent, network := servedPair(b)
+	measure(b, network, func() error {
+		entry.store = rtconfig.New(rtdocument.Decode)
+		entry.packed = packed{}
+		if err := entry.pullDocument(b.Context(), agent); err != nil {
+			return err
+		}
+		if len(entry.packed.of(entry.store.Current())) == 0 {
+			return errors.New("no document")
+		}
+		return nil
+	})
+}
+
+// Memory of the list of VMs at the size to design for, and of the last status
+// of as many processes as an agent may hear.
+func BenchmarkMemoryOfVM(b *testing.B) {
+	for b.Loop() {
+		node := New(Options{Network: &rtnet.TCP{}})
+		members := designMembers()
+		empty := heapAfter()
+		node.applyRoster(rtmember.Delta{Version: 1, Members: cloneMembers(members)})
+		listed := heapAfter()
+		for _, member := range members {
+			node.Observe(benchStatus(member))
+		}
+		heard := heapAfter()
+		count := float64(len(members))
+		b.ReportMetric(float64(listed-empty)/count, "listed-B/vm")
+		b.ReportMetric(float64(heard-listed)/count, "heard-B/vm")
+		runtime.KeepAlive(node)
+		runtime.KeepAlive(members)
+	}
+}
+
+// cloneMembers copies the strings too, as decoding a list does.
+func cloneMembers(members []rtplatform.Member) []rtplatform.Member {
+	var clones []rtplatform.Member
+	for _, member := range members {
+		clones = append(clones, memberOf(proto.Clone(wireOf(member)).(*rtwire.Member)))
+		last := &clones[len(clones)-1]
+		last.VM = rtid.VM(strings.Clone(string(last.VM)))
+		last.Zone = rtid.Zone(strings.Clone(string(last.Zone)))
+		last.Address = rtid.Address(strings.Clone(string(last.Address)))
+		last.Target = rtid.Target(strings.Clone(string(last.Target)))
+		last.Service = rtid.Service(strings.Clone(string(last.Service)))
+	}
+	return clones
+}
+
+func benchStatus(member rtplatform.Member) *rtwire.Status {
+	status := &rtwire.Status{
+		Vm: string(member.VM), Role: wireOf(member).Role, Zone: string(member.Zone), Address: string(member.Address),
+		Incarnation: 1, Version: 1, Roster: 1, Confirmed: durationpb.New(time.Second),
+		Target: string(member.Target), Service: string(member.Service),
+	}
+	if member.Role == rtplatform.RoleAgent {
+		status.Load = &rtwire.Load{Queued: 1, Running: 1, Limit: 1, Slots: 1, Rate: 1}
+	}
+	return status
+}
+
+// Memory of a document in force: decoded, as published and packed.
+func BenchmarkMemoryOfDocument(b *testing.B) {
+	published := designDocument()
+	for b.Loop() {
+		before := heapAfter()
+		store := rtconfig.New(rtdocument.Decode)
+		store.Offer(1, bytes.Clone(published))
+		var kept packed
+		kept.of(store.Current())
+		b.ReportMetric(float64(heapAfter()-before), "held-B")
+		b.ReportMetric(float64(len(published)), "published-B")
+		b.ReportMetric(float64(len(kept.of(store.Current()))), "packed-B")
+	}
+}
+
+// Memory and goroutines of open connections of heartbeats, both ends.
+func BenchmarkMemoryOfConnection(b *testing.B) {
+	const connections = 100
+	for b.Loop() {
+		_, agent, _ := servedPair(b)
+		before, goroutines := memoryAfter(), runtime.NumGoroutine()
+		var entries []*Node
+		for range connections {
+			entry := newBenchNode(&rtnet.TCP{}, rtwire.Role_ROLE_ENTRY, "127.0.0.1:1")
+			entries = append(entries, entry)
+		}
+		nodes := memoryAfter()
+		for _, entry := range entries {
+			if _, err := entry.hello(b.Context(), agent); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(memoryAfter()-nodes)/connections, "B/connection")
+		b.ReportMetric(float64(nodes-before)/connections, "B/node")
+		b.ReportMetric(float64(runtime.NumGoroutine()-goroutines)/connections, "goroutines/connection")
+		for _, entry := range entries {
+			entry.peers.client.CloseIdleConnections()
+		}
+	}
+}
+
+// A changed VM on its way to one peer, over loopback.
+func BenchmarkRosterPull(b *testing.B) {
+	entry, agent, network, node := servedNodes(b)
+	members := designMembers()
+	node.applyRoster(rtmember.Delta{Version: 1, Members: members})
+	entry.applyRoster(rtmember.Delta{Version: 1, Members: members})
+	version := rtid.Version(1)
+	measure(b, network, func() error {
+		version++
+		changed := members[0]
+		changed.Address = rtid.Address(fmt.Sprintf("10.0.0.1:%d", 1+version%60_000))
+		node.applyRoster(rtmember.Delta{Base: version - 1, Version: version, Members: []rtplatform.Member{changed}})
+		return entry.pullRoster(b.Context(), agent)
+	})
+}
+
+// measure runs an exchange and reports the processor time of the process and
+// the bytes of its connections.
+func measure(b *testing.B, network *countingNetwork, exchange func() error) {
+	b.Helper()
+	if err := exchange(); err != nil {
 		b.Fatal(err)
 	}
 	network.bytes.Store(0)
 	before := processorTime(b)
-	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := entry.hello(b.Context(), agent); err != nil {
+		if err := exchange(); err != nil {
 			b.Fatal(err)
 		}
 	}
-	b.ReportMetric(float64(network.bytes.Load())/float64(b.N), "wire-B/op")
 	b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64(network.bytes.Load())/float64(b.N), "wire-B/op")
 }
 
 func designDocument() []byte {
 	document := rtdocument.Document{Revision: 6_700, Base: 6_699}
+	random := rand.New(rand.NewPCG(1, 2))
 	var services []rtid.Service
 	for i := range designModels {
 		name := rtid.Service(fmt.Sprintf("summaries-model-%d", i))
@@ -134,16 +317,17 @@
 	for i := range designZones {
 		capacity := make(map[rtid.Service]float64)
 		for j, service := range services {
-			capacity[service] = 1_234.5 + float64(j)
+			capacity[service] = float64(100*j + random.IntN(2_000))
 		}
 		name := rtid.Zone(fmt.Sprintf("region-%d-zone-%c", i/3, 'a'+i%3))
 		document.Zones = append(document.Zones, rtdocument.Zone{Name: name, State: rtdocument.StateIn, Capacity: capacity})
 	}
 	for i := range designOrganisations {
 		name := rtid.Organisation(fmt.Sprintf("organisation-%03d", i))
-		// Different services and shares, or the document packs too well.
-		reach := services[i%3 : 4+i*7%6]
-		share := float64(1+i*7919%4_000) / 1_000_000
+		// Random services and shares, or the document packs too well.
+		first := random.IntN(designModels)
+		reach := services[first : first+1+random.IntN(designModels-first)]
+		share := float64(1+random.IntN(1_000_000)) / 1_000_000 / designOrganisations
 		organisation := rtdocument.Organisation{Name: name, Services: reach, Share: share}
 		document.Organisations = append(document.Organisations, organisation)
 	}
@@ -179,9 +363,21 @@
 
 // heapAfter returns the bytes in use after a collection.
 func heapAfter() int64 {
+	stats := collected()
+	return int64(stats.HeapAlloc)
+}
+
+// memoryAfter returns the bytes in use after a collection, with stacks.
+func memoryAfter() int64 {
+	stats := collected()
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
+
+func collected() runtime.MemStats {
+	// The second collection frees what finalizers held on to.
 	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
+	return stats
 }
--- a/internal/rtnode/change_test.go
+++ b/internal/rtnode/change_test.go
@@ -29,7 +29,7 @@
 func TestStartWhilePlatformIsDown(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
 		f.publish(0)
-		f.build()
+		f.build(entries, agents)
 		f.platform.SetDown(true)
 		f.startAll()
 		f.during(time.Minute, "nobody starts", func() error {
--- a/internal/rtnode/fleet_test.go
+++ b/internal/rtnode/fleet_test.go
@@ -76,7 +76,7 @@
 	t.Helper()
 	inFleet(t, func(t *testing.T, f *fleet) {
 		f.publish(0)
-		f.build()
+		f.build(entries, agents)
 		f.startAll()
 		f.within(startBound, "fleet starts", f.allHave(1))
 		test(t, f)
@@ -103,7 +103,7 @@
 }
 
 // build makes entries and agents over three zones and lists them.
-func (f *fleet) build() {
+func (f *fleet) build(entries, agents int) {
 	for i := range entries {
 		f.add(rtplatform.Member{Role: rtplatform.RoleEntry, Zone: zoneOf(i)})
 	}
@@ -138,9 +138,9 @@
 }
 
 // publish publishes a valid document made from a base.
-func (f *fleet) publish(base rtid.Revision) rtid.Version {
+func (f *fleet) publish(base rtid.Revision) {
 	f.revision++
-	return f.platform.Publish(f.body(base))
+	f.platform.Publish(f.body(base))
 }
 
 func (f *fleet) body(base rtid.Revision) []byte {
--- a/internal/rtnode/spread_test.go
+++ b/internal/rtnode/spread_test.go
@@ -35,6 +35,25 @@
 	})
 }
 
+// Guards against news that wait for heartbeats when the interval is stretched
+// and subsets do not hold all agents. The bound is that of the size to design
+// for.
+func TestNewsInLargerFleet(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.publish(0)
+		f.build(12, 110)
+		f.startAll()
+		f.within(startBound, "fleet starts", f.allHave(1))
+		entry := f.processes[0].node
+		if dump := entry.Dump(); len(dump.Subset) != 100 || dump.Interval < 3 {
+			t.Fatalf("subset of %d, interval of %v s", len(dump.Subset), dump.Interval)
+		}
+		f.cutPlatform(f.readers()[0])
+		f.publish(1)
+		f.within(16*time.Second, "version 2 spreads", f.allHave(2))
+	})
+}
+
 // Guards against agents that learn news only from entries with a path to the
 // platform, and entries only from agents.
 func TestNewsCrossBothRoles(t *testing.T) {
