--- a/internal/rtprogram/process_test.go
+++ b/internal/rtprogram/process_test.go
@@ -130,7 +130,8 @@
 	command := state(ts).daemons[args[0]]
 	task := rttask.Start(context.Background(), args[0], func(context.Context) error { return command.Wait() })
 	select {
-	case <-task.Done():
+	case err := <-task.Done():
+		ts.Logf("%s ended: %v", args[0], err) // the status is checked below
 	case <-time.After(patience):
 		ts.Fatalf("%s still runs after %v", args[0], patience)
 	}
