--- a/internal/rtfake/network.go
+++ b/internal/rtfake/network.go
@@ -27,8 +27,9 @@
 // Network is a TCP network in memory. A host is a VM, named by its IP
 // address. The zero value is ready to use.
 //
-// Faults act on hosts and on the link from one host to another. A cut link
-// holds bytes, as TCP does, until it is healed.
+// Faults act on hosts and on the link from one host to another. They take an
+// IP address, or an address with a port whose host is meant. A cut link holds
+// bytes, as TCP does, until it is healed.
 type Network struct {
 	Seed    uint64                        // of jitter and loss
 	Default func(from, to string) Latency // latency of links without SetLatency; nil: none
@@ -60,7 +61,7 @@
 
 // Host returns the network as the host with this IP address sees it.
 func (n *Network) Host(name string) *Host {
-	return &Host{network: n, name: name}
+	return &Host{network: n, name: hostOf(name)}
 }
 
 // Listen opens a listener at the host that the address names.
@@ -124,25 +125,24 @@
 
 // handshake waits until a round trip has passed with both links whole.
 func (n *Network) handshake(ctx context.Context, there, back *link) error {
-	for delayed := false; ; {
+	var established time.Time
+	for {
 		changed, closed := n.watchFaults()
 		whole := !there.isCut() && !back.isCut() && !there.from.isFrozen()
+		now := time.Now()
 		switch {
 		case closed:
 			return net.ErrClosed
-		case whole && delayed:
+		case !whole:
+			established = time.Time{}
+		case established.IsZero():
+			established = now.Add(there.delay() + back.delay())
+		}
+		if whole && !now.Before(established) {
+			return ctx.Err()
+		}
+		if !waitUntil(ctx, changed, established) {
 			return ctx.Err()
-		case whole:
-			if err := sleep(ctx, there.delay()+back.delay()); err != nil {
-				return err
-			}
-			delayed = true
-		default:
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-changed:
-			}
 		}
 	}
 }
@@ -175,6 +175,7 @@
 }
 
 func (n *Network) linkLocked(from, to string) *link {
+	from, to = hostOf(from), hostOf(to)
 	key := linkKey{from, to}
 	if l := n.links[key]; l != nil {
 		return l
@@ -191,7 +192,16 @@
 	return l
 }
 
+// hostOf returns the host of an address, or a host as it is.
+func hostOf(name string) string {
+	if address, err := netip.ParseAddrPort(name); err == nil {
+		return address.Addr().String()
+	}
+	return name
+}
+
 func (n *Network) hostLocked(name string) *hostState {
+	name = hostOf(name)
 	if h := n.hosts[name]; h != nil {
 		return h
 	}
@@ -223,18 +233,3 @@
 func opError(operation string, address netip.AddrPort, err error) error {
 	return &net.OpError{Op: operation, Net: "tcp", Addr: net.TCPAddrFromAddrPort(address), Err: err}
 }
-
-// sleep waits for a duration or the end of the context.
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
