Let agents find the agents of their zone and service

Cause: Node.Targets was empty in agents, because only entries have a subset, so no agent could lead a prompt larger than one engine. Ruled out: a subset with heartbeats for agents too; the reservation itself shows who answers. Change: Targets of an agent returns its neighbours without heartbeats; status counts conflicts; dump of the node. Measured: a prompt of 2.5 engines runs with real nodes, fails without the change; rtnode, rtfleet, rtdemo and rtagent pass.

--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -46,6 +46,8 @@
 	Status() *rtwire.Status
 	Observe(*rtwire.Status)
 	Targets(rtid.Service) []rtnode.View
+	Configuration() rtnode.Configuration
+	Dump() rtnode.Dump
 	Handler() http.Handler
 	Run(context.Context) error
 }
@@ -139,6 +141,7 @@
 		Epoch:    agent.epoch,
 	})
 	agent.dump.Add("agent", agent.state)
+	agent.dump.Add("node", func() any { return agent.node.Dump() })
 	return agent
 }
 
--- a/internal/rtagent/group_test.go
+++ b/internal/rtagent/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 )
 
@@ -31,11 +33,14 @@
 		engines = append(engines, w.engine(host, rtfake.EngineConfig{Memory: 1000, Warm: true, Step: step}))
 		chosen := settings(host)
 		chosen.Memory = 1000
+		chosen.Platform = address(9, 80)
 		agents = append(agents, w.agent(chosen))
 		views = append(views, rtnode.View{Target: chosen.Target, Service: chosen.Service, Zone: "a", Address: chosen.Peers})
 	}
 	for _, agent := range agents {
-		agent.node.targets = views
+		if agent.node != nil {
+			agent.node.targets = views
+		}
 	}
 	return engines, agents
 }
@@ -95,6 +100,42 @@
 	})
 }
 
+// Guards against an agent whose node knows no neighbours, or that never gets
+// ready with a real node, and checks what operators see.
+func TestLargePromptWithRealNodes(t *testing.T) {
+	inWorld(t, func(w *world) {
+		var members []rtplatform.Member
+		for host := 1; host <= 3; host++ {
+			chosen := settings(host)
+			members = append(members, rtplatform.Member{
+				VM: chosen.VM, Role: rtplatform.RoleAgent, Zone: chosen.Zone, Address: chosen.Peers,
+				State: rtplatform.StateLive, Target: chosen.Target, Service: chosen.Service,
+			})
+		}
+		w.publish(9, members)
+		_, agents := w.group(3, 2*time.Millisecond)
+		offer := large(agents[1], "x", 400, 20*time.Second)
+		agents[1].accept(offer)
+		agents[1].want(offer.Request, doneOutcome, noReason)
+		for path, want := range map[string]string{
+			"/status":  `{"vm":"vm2","role":"agent","zone":"a","target":"t2","version":1,"revision":1,"ready":true,"leaving":false,"state":"in","conflicts":0}`,
+			"/dump":    offer.Request,
+			"/health":  "ok",
+			"/metrics": "requests_ended",
+		} {
+			response, err := w.client.Get("http://" + string(agents[1].settings.Operators) + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			if err != nil || !strings.Contains(string(body), want) {
+				t.Errorf("%s: %v, %s, want %s", path, err, body, want)
+			}
+			_ = response.Body.Close()
+		}
+	})
+}
+
 // Guards against two large prompts that hold half each and wait for each
 // other for ever.
 func TestLargePromptsRace(t *testing.T) {
--- a/internal/rtagent/serve.go
+++ b/internal/rtagent/serve.go
@@ -84,7 +84,7 @@
 	Revision  rtid.Revision `json:"revision"`
 	Ready     bool          `json:"ready"`
 	Leaving   bool          `json:"leaving"`
-	State     string        `json:"state"` // of the availability zone
+	State     string        `json:"state"` // of the zone: "in", "out", or "unknown" without a document
 	Conflicts uint64        `json:"conflicts"`
 }
 
@@ -99,15 +99,14 @@
 		Version: version,
 		Ready:   a.serving(),
 		Leaving: a.leaving,
+		State:   "unknown",
 	}
 	a.mu.Unlock()
 	if document != nil {
 		answer.Revision = document.Revision
 		answer.State = string(document.ZoneState(a.settings.Zone))
 	}
-	if counter, ok := a.node.(interface{ Conflicts() uint64 }); ok {
-		answer.Conflicts = counter.Conflicts()
-	}
+	answer.Conflicts = a.node.Configuration().Counts.Conflicts
 	w.Header().Set("Content-Type", "application/json")
 	// The reader may go away; there is nobody left to tell.
 	_ = json.NewEncoder(w).Encode(answer)
--- a/internal/rtagent/world_test.go
+++ b/internal/rtagent/world_test.go
@@ -24,6 +24,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
@@ -56,6 +57,20 @@
 	network  *rtfake.Network
 	client   *http.Client
 	document *rtdocument.Document
+	platform *rtfake.Platform // set for agents with nodes of their own
+}
+
+// publish makes the agents run real nodes, which read the platform at a host.
+func (w *world) publish(host int, members []rtplatform.Member) {
+	w.t.Helper()
+	body, err := rtdocument.Encode(w.document)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.platform = &rtfake.Platform{}
+	w.platform.Publish(body)
+	w.platform.SetVMs(members, 0)
+	w.serve(host, w.platform)
 }
 
 // inWorld runs a test in virtual time.
@@ -185,6 +200,9 @@
 		Log:     logr.Discard(),
 		Metrics: metrics,
 		Node: func(options rtnode.Options) Node {
+			if w.platform != nil {
+				return rtnode.New(options)
+			}
 			started.node = &fakeNode{Node: rtnode.New(options), started: make(chan struct{}), document: w.document}
 			return started.node
 		},
@@ -227,7 +245,7 @@
 // order returns an offer of an order.
 func (r *running) order(body string, limit time.Duration) *rtwire.OfferRequest {
 	offer := r.offer(rtid.KindOrder, rtwire.Kind_KIND_ORDER, body, 0, limit)
-	offer.Incarnation = uint64(r.node.Incarnation())
+	offer.Incarnation = uint64(r.Agent.node.Incarnation())
 	return offer
 }
 
@@ -236,7 +254,7 @@
 		Request: string(rtid.NewRequest(rtid.Home{
 			Kind:        kind,
 			Target:      r.settings.Target,
-			Incarnation: r.node.Incarnation(),
+			Incarnation: r.Agent.node.Incarnation(),
 			Epoch:       r.epoch(),
 			Digest:      rtid.DigestOf(court),
 		})),
--- a/internal/rtnode/heartbeat.go
+++ b/internal/rtnode/heartbeat.go
@@ -67,13 +67,28 @@
 	defer n.mu.Unlock()
 	n.setInterval()
 	n.table.Prune(now)
-	if n.self.Role == rtplatform.RoleEntry {
+	switch n.self.Role {
+	case rtplatform.RoleEntry:
 		n.subset = rtmember.Subset(n.self, n.table.Candidates(now), rtmember.SubsetLimit)
 		n.targets = targetsOf(n.subset)
+	case rtplatform.RoleAgent:
+		n.targets = targetsOf(n.neighbours(now))
 	}
 	return n.subset, n.interval, n.listChanged
 }
 
+// neighbours returns the agents of this zone and service, which an agent can
+// ask for memory. They get no heartbeats. n.mu is held.
+func (n *Node) neighbours(now time.Time) []rtplatform.Member {
+	var near []rtplatform.Member
+	for _, member := range n.table.Candidates(now) {
+		if member.Role == rtplatform.RoleAgent && member.Zone == n.self.Zone && member.Service == n.self.Service {
+			near = append(near, member)
+		}
+	}
+	return near
+}
+
 // targetsOf returns the targets of agents by service, sorted.
 func targetsOf(agents []rtplatform.Member) map[rtid.Service][]rtid.Target {
 	targets := make(map[rtid.Service][]rtid.Target)
