Let the measured pace recover, keep results of orders up to 4 MiB

Cause: after a slow spell long work was refused for ever, because refused work gives no new sample; a target that is slower for good counted as cold for ever; a result over 1 MiB was dropped and looked like an empty one. Change: without samples the pace goes back to usual within a minute; slow samples move what is usual a little; dropped results say so.

--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -178,7 +178,7 @@
 		Running: uint32(a.queue.Running()),
 		Limit:   uint32(a.warm.Now()),
 		Slots:   uint32(a.settings.Slots),
-		Rate:    a.pace.rate,
+		Rate:    a.pace.rateAt(time.Now()),
 		Used:    int64(a.memory.Used()),
 		Total:   int64(a.memory.Total()),
 		Cold:    a.warm.Cold(),
--- a/internal/rtagent/stages.go
+++ b/internal/rtagent/stages.go
@@ -165,7 +165,7 @@
 	if remaining <= 0 {
 		return refuse(rtwire.Reason_REASON_DEADLINE, "no time remains")
 	}
-	predicted := a.predictWait(&o.item, o.now) + a.pace.answer(rtid.Tokens(o.message.Output))
+	predicted := a.predictWait(&o.item, o.now) + a.pace.answer(rtid.Tokens(o.message.Output), o.now)
 	if predicted > remaining {
 		return refuse(rtwire.Reason_REASON_DEADLINE, "predicted to take %v of %v",
 			predicted.Round(time.Millisecond), remaining.Round(time.Millisecond))
@@ -175,7 +175,7 @@
 
 // predictWait returns the predicted time to the first token.
 func (a *Agent) predictWait(item *rtqueue.Item, now time.Time) time.Duration {
-	prefill := a.pace.prefill(a.queue.Ahead(item.Class, now) + item.Tokens)
+	prefill := a.pace.prefill(a.queue.Ahead(item.Class, now)+item.Tokens, now)
 	over := a.queue.Running() + a.queue.Waiting() + 1 - a.warm.Now()
 	return max(prefill, a.pace.slot(item.Class, over, a.warm.Now()))
 }
--- a/internal/rtagent/state.go
+++ b/internal/rtagent/state.go
@@ -41,7 +41,7 @@
 		Running:     a.queue.Running(),
 		Queued:      a.queue.WaitingTokens(),
 		Prefill:     a.queue.Prefill(),
-		Rate:        a.pace.rate,
+		Rate:        a.pace.rateAt(now),
 		Used:        a.memory.Used(),
 		Total:       a.memory.Total(),
 		Records:     a.ledger.Len(),
--- a/internal/rtledger/ledger.go
+++ b/internal/rtledger/ledger.go
@@ -72,8 +72,8 @@
 var DefaultLimits = Limits{
 	Records: 100_000,
 	Epochs:  int(24 * time.Hour / EpochLength),
-	Result:  1 << 20,
-	Results: 32 << 20,
+	Result:  4 << 20,
+	Results: 64 << 20,
 }
 
 // Entry identifies a request that is offered.
@@ -92,6 +92,12 @@
 	Body   []byte // answer of an order; nil if it was dropped to bound memory
 }
 
+// dropBody leaves a result that cannot be taken for an empty one.
+func (r *Result) dropBody() {
+	r.Body = nil
+	r.Detail = "the result is not kept any more"
+}
+
 // Record is a copy of what the ledger knows about a request.
 type Record struct {
 	Organisation rtid.Organisation
@@ -183,7 +189,7 @@
 		return false
 	}
 	if rtid.Bytes(len(result.Body)) > l.limits.Result {
-		result.Body = nil
+		result.dropBody()
 	}
 	existing.result = result
 	if len(result.Body) > 0 {
@@ -323,6 +329,6 @@
 			continue
 		}
 		l.size -= rtid.Bytes(len(oldest.result.Body))
-		oldest.result.Body = nil
+		oldest.result.dropBody()
 	}
 }
