Let short requests start beside an aged one that waits for long ones

Cause: an aged request that lacked memory stopped all others, also for as long as a running long prompt held that memory; a smaller long prompt could overtake an aged one; aged requests took the slots kept for short ones. Change: short requests are held back only when they alone are in the way of an aged one; other long prompts wait behind an aged one; kept slots stay kept.

--- a/internal/rtqueue/queue.go
+++ b/internal/rtqueue/queue.go
@@ -2,9 +2,11 @@
 // what runs, because that decides what may start next. It has no clock of its
 // own and is not safe for concurrent use.
 //
-// Bound: once a request has waited for AgeLimit, no younger request overtakes
-// it for memory or a slot. It starts as soon as the older aged requests have
-// started, running requests have freed its memory, and, for a long prompt,
+// Some slots are kept for short requests. Bound: once a request has waited for
+// AgeLimit, no younger request takes another slot, or memory that it lacks;
+// short requests start before it only while longer running ones hold that
+// memory. It starts as soon as the older aged requests have started, the
+// running requests have freed a slot and its memory, and, for a long prompt,
 // the running long prompts have had their first token.
 package rtqueue
 
@@ -98,6 +100,7 @@
 	running   totals
 	classes   [len(headStart)]int // running requests by class
 	shorts    int                 // waiting short requests
+	shortKV   rtid.Tokens         // memory of running short requests
 	long      rtid.Tokens         // prefill tokens of running long prompts
 	prefill   rtid.Tokens         // prefill tokens of all running prompts
 	share     share
@@ -223,6 +226,9 @@
 	q.Prefilled(id)
 	q.running.add(&found.Item, -1)
 	q.classes[found.Class]--
+	if found.Class == rtid.ClassShort {
+		q.shortKV -= found.Memory
+	}
 	delete(q.entries, id)
 	q.observe(now)
 }
@@ -261,6 +267,9 @@
 	e.prefill = true
 	q.running.add(&e.Item, 1)
 	q.classes[e.Class]++
+	if e.Class == rtid.ClassShort {
+		q.shortKV += e.Memory
+	}
 	q.prefill += e.Tokens
 	if e.Class == rtid.ClassLong {
 		q.long += e.Tokens
@@ -301,101 +310,3 @@
 func (q *Queue) observe(now time.Time) {
 	q.share.observe(q.shorts+q.classes[rtid.ClassShort], now)
 }
-
-// choose returns the request to start, or nil if none may.
-func (q *Queue) choose(now time.Time, slots int, free rtid.Tokens) *entry {
-	oldest, blocked := q.aged(now, free)
-	if oldest != nil || blocked {
-		return oldest
-	}
-	due := q.classDue()
-	var best *entry
-	var bestFinish float64
-	for key, waiting := range q.flows {
-		head := waiting.head()
-		if !q.fits(head, slots, free) {
-			continue
-		}
-		finish := max(q.virtual, q.finish[key.organisation])
-		if best == nil || before(head, best, &due, finish, bestFinish) {
-			best, bestFinish = head, finish
-		}
-	}
-	return best
-}
-
-// before orders candidates: class by its oldest request and head start, then
-// organisation by fair share, then arrival and id, so that the order does not
-// depend on the order of a map.
-func before(e, other *entry, due *[len(headStart)]time.Time, finish, otherFinish float64) bool {
-	mine, others := due[e.Class], due[other.Class]
-	switch {
-	case !mine.Equal(others):
-		return mine.Before(others)
-	case e.Class != other.Class:
-		return e.Class < other.Class
-	case finish != otherFinish:
-		return finish < otherFinish
-	default:
-		return older(e, other)
-	}
-}
-
-func older(e, other *entry) bool {
-	if !e.Arrived.Equal(other.Arrived) {
-		return e.Arrived.Before(other.Arrived)
-	}
-	return e.ID < other.ID
-}
-
-// classDue returns when the oldest request of each class counts as arrived.
-func (q *Queue) classDue() [len(headStart)]time.Time {
-	var due [len(headStart)]time.Time
-	for key, waiting := range q.flows {
-		arrived := waiting.head().Arrived.Add(headStart[key.class])
-		if due[key.class].IsZero() || arrived.Before(due[key.class]) {
-			due[key.class] = arrived
-		}
-	}
-	return due
-}
-
-// aged returns the oldest request that has waited for AgeLimit and may start,
-// and whether it lacks memory, so that nothing else may start before it.
-func (q *Queue) aged(now time.Time, free rtid.Tokens) (next *entry, blocked bool) {
-	for _, waiting := range q.flows {
-		head := waiting.head()
-		if now.Sub(head.Arrived) < AgeLimit || !q.longFits(head) {
-			continue
-		}
-		if next == nil || older(head, next) {
-			next = head
-		}
-	}
-	if next != nil && next.Memory > free {
-		return nil, true
-	}
-	return next, false
-}
-
-// fits reports whether a request that has not aged may start.
-func (q *Queue) fits(e *entry, slots int, free rtid.Tokens) bool {
-	if e.Memory > free || !q.longFits(e) {
-		return false
-	}
-	if e.Class == rtid.ClassShort {
-		return true
-	}
-	others := q.running.count - q.classes[rtid.ClassShort]
-	if others == 0 {
-		return true
-	}
-	kept := q.share.slots(slots)
-	return others < slots-kept && e.Memory <= free-rtid.Tokens(kept)*rtid.ShortLimit
-}
-
-// longFits reports whether the limit on prefill of long prompts lets a
-// request start.
-func (q *Queue) longFits(e *entry) bool {
-	return e.Class != rtid.ClassLong || q.long == 0 || q.long+e.Tokens <= q.limits.LongPrefill
-}
