Reserve loopback ports until they are used

Cause: the demo failed with address already in use while other tests ran; a port that was free a moment ago was taken before the process listened on it. Ruled out: random ports below the ephemeral range; with 80 addresses in use two runs collide in about one of eight cases. Change: in one process the listener itself is kept; scripts with real programs use a loopback IP address made from the process id. Measured: both packages pass side by side.

--- a/internal/rtdemo/demo.go
+++ b/internal/rtdemo/demo.go
@@ -58,21 +58,22 @@
 	if err != nil {
 		return err
 	}
-	fleet, err := rtfleet.New(ctx, options(document))
+	space := &rtfleet.Loopback{}
+	fleet, err := rtfleet.New(ctx, options(space, document))
 	if err != nil {
-		return errors.Join(err, fleet.Close())
+		return errors.Join(err, fleet.Close(), space.Close())
 	}
 	d := &demo{out: out, fleet: fleet, document: document, client: &http.Client{}}
 	d.caller = rtfleet.Caller{Client: d.client, Entry: fleet.Entries[0].Callers, Organisation: "high-court"}
 	err = d.steps(ctx)
 	d.client.CloseIdleConnections()
-	return errors.Join(err, fleet.Close())
+	return errors.Join(err, fleet.Close(), space.Close())
 }
 
 // options returns the fleet of the demo.
-func options(document rtdocument.Document) rtfleet.Options {
+func options(space rtfleet.Space, document rtdocument.Document) rtfleet.Options {
 	return rtfleet.Options{
-		Space:    &rtfleet.Loopback{},
+		Space:    space,
 		Document: document,
 		Entries:  1,
 		Engines:  2,
--- a/internal/rtfleet/space.go
+++ b/internal/rtfleet/space.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
@@ -54,35 +54,60 @@
 // IP address. The zero value is ready to use.
 type Loopback struct {
 	tcp rtnet.TCP
+
+	mu       sync.Mutex
+	reserved map[rtid.Address]net.Listener
 }
 
 // Network returns the operating system's network.
 func (l *Loopback) Network(string) rtnet.Network {
-	return &l.tcp
+	return l
 }
 
-// Ports of Loopback are below those that the operating system gives to
-// outgoing connections, which could take a port between Address and Listen.
-const (
-	firstLoopbackPort = 20000
-	loopbackPorts     = 12000
-)
-
-// Address returns an address whose port was free a moment ago.
+// Address returns an address whose port stays reserved until Listen takes it,
+// because another process could take a port that is only free for a moment.
 func (l *Loopback) Address(string) (rtid.Address, error) {
-	for range loopbackPorts {
-		port := firstLoopbackPort + rand.IntN(loopbackPorts)
-		address := rtid.Address(fmt.Sprintf("127.0.0.1:%d", port))
-		listener, err := l.tcp.Listen(address)
-		if err != nil {
-			continue
-		}
-		if err := listener.Close(); err != nil {
-			return "", fmt.Errorf("free the port: %w", err)
-		}
-		return address, nil
+	listener, err := l.tcp.Listen("127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	address := rtid.Address(listener.Addr().String())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reserved == nil {
+		l.reserved = make(map[rtid.Address]net.Listener)
+	}
+	l.reserved[address] = listener
+	return address, nil
+}
+
+// Listen opens a listener, or takes the reserved one.
+func (l *Loopback) Listen(address rtid.Address) (net.Listener, error) {
+	l.mu.Lock()
+	listener := l.reserved[address]
+	delete(l.reserved, address)
+	l.mu.Unlock()
+	if listener != nil {
+		return listener, nil
+	}
+	return l.tcp.Listen(address)
+}
+
+// Dial opens a connection.
+func (l *Loopback) Dial(ctx context.Context, address rtid.Address) (net.Conn, error) {
+	return l.tcp.Dial(ctx, address)
+}
+
+// Close frees the ports that no listener took.
+func (l *Loopback) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var errs []error
+	for _, listener := range l.reserved {
+		errs = append(errs, listener.Close())
 	}
-	return "", errors.New("no free loopback port")
+	l.reserved = nil
+	return errors.Join(errs...)
 }
 
 // Kill does nothing: the end of a process closes its connections.
--- a/internal/rtprogram/process_test.go
+++ b/internal/rtprogram/process_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -79,15 +80,19 @@
 	return ts.Value(stateKey{}).(*processes)
 }
 
-// setAddresses gives the script free loopback addresses.
+// Ports of the scripts. Each script has a range of its own.
+const firstPort = 7000
+
+var scripts atomic.Int32
+
+// setAddresses gives the script loopback addresses that no other process uses:
+// the IP address follows from the process id, because a port that is free now
+// can be taken before a daemon listens on it.
 func setAddresses(env *testscript.Env) error {
-	var space rtfleet.Loopback
+	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250/250%250, 1+os.Getpid()/250%250, 1+os.Getpid()%250)
+	first := firstPort + ports*int(scripts.Add(1))
 	for i := range ports {
-		address, err := space.Address("")
-		if err != nil {
-			return err
-		}
-		env.Setenv(fmt.Sprint("addr", i+1), string(address))
+		env.Setenv(fmt.Sprint("addr", i+1), fmt.Sprintf("%s:%d", host, first+i))
 	}
 	return nil
 }
