--- a/internal/rtprogram/process_test.go
+++ b/internal/rtprogram/process_test.go
@@ -52,6 +52,7 @@
 			"signal":  signalDaemon,
 			"exited":  awaitExit,
 			"ready":   awaitReady,
+			"await":   awaitCommand,
 			"draft":   startDraft,
 			"started": awaitText,
 			"drafted": awaitDraft,
@@ -145,6 +146,21 @@
 	}
 }
 
+// awaitCommand runs "await PROGRAM ARGS..." until it succeeds.
+func awaitCommand(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(patience)
+	for {
+		err := ts.Exec(args[0], args[1:]...)
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%v: %v after %v", args, err, patience)
+		}
+		<-time.After(50 * time.Millisecond)
+	}
+}
+
 // awaitReady runs "ready ENTRY": waits until the entry accepts a draft and
 // issues an order id.
 func awaitReady(ts *testscript.TestScript, _ bool, args []string) {
