--- a/internal/rtnode/node.go
+++ b/internal/rtnode/node.go
@@ -56,6 +56,7 @@
 	counters counters
 	packed   packed
 	started  chan struct{}
+	tried    chan struct{}       // closed after the first read of the platform
 	pulls    chan *rtwire.Status // peers that know more than this process
 
 	mu          sync.Mutex
@@ -91,6 +92,7 @@
 		store:       rtconfig.New(rtdocument.Decode),
 		counters:    newCounters(options.Metrics),
 		started:     make(chan struct{}),
+		tried:       make(chan struct{}),
 		pulls:       make(chan *rtwire.Status, maxPulls),
 		incarnation: rtid.NewIncarnation(time.Now()),
 		left:        make(chan struct{}),
--- a/internal/rtnode/reader.go
+++ b/internal/rtnode/reader.go
@@ -105,6 +105,10 @@
 // reader or knows no list.
 func (n *Node) watchLists(ctx context.Context) error {
 	delays := backoff{first: readerFirst, last: readerLast}
+	select {
+	case <-ctx.Done():
+	case <-n.tried:
+	}
 	for ctx.Err() == nil {
 		if n.rosterVersion() > 0 && !n.awaitReader(ctx) {
 			return nil
--- a/internal/rtnode/start.go
+++ b/internal/rtnode/start.go
@@ -29,9 +29,10 @@
 // does not count while peers can be asked.
 func (n *Node) learn(ctx context.Context) error {
 	delays := backoff{first: startFirst, last: startLast}
+	n.readPlatform(ctx)
+	close(n.tried)
 	for ctx.Err() == nil {
 		changed := n.store.Changed()
-		n.readPlatform(ctx)
 		n.askPeers(ctx)
 		if version, _ := n.Document(); version > 0 {
 			close(n.started)
@@ -39,6 +40,7 @@
 			break
 		}
 		wait(ctx, delays.next(), changed)
+		n.readPlatform(ctx)
 	}
 	<-ctx.Done()
 	return nil
