--- /dev/null
+++ b/cmd/rhubarbtally-agent/main.go
@@ -0,0 +1,13 @@
+// Command rhubarbtally-agent is the sidecar process beside one target and the
+// only path to it.
+package main
+
+import (
+	"os"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtprogram"
+)
+
+func main() {
+	os.Exit(rtprogram.Agent(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/rtagent/calls.go
+++ b/internal/rtagent/calls.go
@@ -15,10 +15,10 @@
 }
 
 // Offer decides about a request and answers with the status of this process.
-func (c calls) Offer(_ context.Context, message *rtwire.OfferRequest) (*rtwire.OfferReply, error) {
+func (c calls) Offer(ctx context.Context, message *rtwire.OfferRequest) (*rtwire.OfferReply, error) {
 	a := c.agent
 	a.node.Observe(message.Sender)
-	reply := a.decide(message)
+	reply := a.decide(message, arrivalOf(ctx))
 	reply.Status = a.node.Status()
 	a.metrics.Tagged(map[string]string{
 		"outcome": reply.Outcome.String(),
@@ -43,6 +43,9 @@
 	if !ok {
 		return &rtwire.QueryReply{Outcome: rtwire.Outcome_OUTCOME_UNKNOWN, Detail: "no offer with this id has arrived"}, nil
 	}
+	if r := a.requests[id]; r != nil && r.settled && r.kind == rtwire.Kind_KIND_ORDER {
+		r.read = true
+	}
 	return describe(record, organisation), nil
 }
 
@@ -85,6 +88,9 @@
 	switch {
 	case record.State == rtledger.StateNotRun:
 		a.abandon(r, rtwire.Reason_REASON_CANCELLED, "cancelled before its start")
+		if r.cancel != nil {
+			r.cancel(errCancelled)
+		}
 	case record.State == rtledger.StateRunning && r.kind == rtwire.Kind_KIND_DRAFT:
 		a.settle(r, rtledger.Result{
 			State:  rtledger.StateFailed,
@@ -147,13 +153,3 @@
 		Result:  record.Body,
 	}
 }
-
-// Reserve holds KV memory for a prompt that another agent leads.
-func (c calls) Reserve(_ context.Context, _ *rtwire.ReserveRequest) (*rtwire.ReserveReply, error) {
-	return &rtwire.ReserveReply{Reason: rtwire.Reason_REASON_MEMORY}, nil
-}
-
-// Release frees a reservation.
-func (c calls) Release(_ context.Context, _ *rtwire.ReleaseRequest) (*rtwire.ReleaseReply, error) {
-	return &rtwire.ReleaseReply{}, nil
-}
--- a/internal/rtagent/dispatch.go
+++ b/internal/rtagent/dispatch.go
@@ -31,6 +31,8 @@
 	defer a.mu.Unlock()
 	a.noticePause(now)
 	a.expireAnswers(now)
+	a.expireHolds(now)
+	a.unpark(now)
 	for a.startNext(ctx, now) {
 		continue
 	}
@@ -39,16 +41,23 @@
 
 // expireAnswers forgets answers that were acknowledged or kept long enough.
 func (a *Agent) expireAnswers(now time.Time) {
+	a.kept = 0
 	for id, r := range a.requests {
 		if r.settled && r.cancel == nil && r.buffer.Expire(now) {
 			delete(a.requests, id)
+			continue
 		}
+		a.kept += r.buffer.Size()
 	}
 }
 
 // startNext starts one request if one may start.
 func (a *Agent) startNext(ctx context.Context, now time.Time) bool {
-	item, ok, refused := a.queue.Pop(now, a.warm.Now(), a.memory.Free())
+	limit := a.warm.Now()
+	if a.suspect {
+		limit = 0
+	}
+	item, ok, refused := a.queue.Pop(now, limit, a.memory.Free())
 	for i := range refused {
 		a.abandon(a.requests[refused[i].ID], rtwire.Reason_REASON_DEADLINE, "the time limit passed in the queue")
 	}
@@ -78,11 +87,8 @@
 // launch runs a request that left the queue. The caller holds a.mu.
 func (a *Agent) launch(ctx context.Context, r *request, now time.Time) {
 	id := r.item.ID
-	a.memory.Reserve(id, r.item.Memory, r.item.Deadline)
-	if !a.ledger.Start(id) {
-		a.finishRun(r, rtledger.Result{State: rtledger.StateNotRun, Reason: rtwire.Reason_REASON_CANCELLED})
-		return
-	}
+	// The engine frees the memory of an expired request within cleanupTimeout.
+	a.memory.Reserve(id, r.item.Memory, r.item.Deadline.Add(cleanupTimeout))
 	r.popped = now
 	for _, other := range a.requests {
 		if other.cancel != nil {
@@ -93,23 +99,47 @@
 	running, cancel := context.WithCancelCause(ctx)
 	r.cancel = cancel
 	a.tasks = append(a.tasks, rttask.Start(running, string(id), func(ctx context.Context) error {
-		result := rtledger.Result{State: rtledger.StateUnknown, Reason: rtwire.Reason_REASON_TARGET, Detail: "the run ended early"}
-		defer func() {
-			cancel(nil)
-			a.endRun(r, result)
-		}()
-		result = a.run(ctx, r)
+		defer cancel(nil)
+		if r.members > 0 {
+			a.executeGroup(ctx, r)
+		} else {
+			a.execute(ctx, r)
+		}
 		return nil
 	}))
 }
 
+// execute runs a request whose memory is reserved, to its end.
+func (a *Agent) execute(ctx context.Context, r *request) {
+	result := rtledger.Result{State: rtledger.StateUnknown, Reason: rtwire.Reason_REASON_TARGET, Detail: "the run ended early"}
+	defer func() { a.endRun(r, result) }()
+	result = a.run(ctx, r)
+}
+
+// run executes a request at the target, unless its dispatch was delayed.
 func (a *Agent) run(ctx context.Context, r *request) rtledger.Result {
+	now := time.Now()
+	if now.Sub(r.popped) > pauseLimit {
+		return notRun(rtwire.Reason_REASON_PAUSED, "the agent was paused before dispatch")
+	}
+	if !now.Before(r.item.Deadline) {
+		return notRun(rtwire.Reason_REASON_DEADLINE, "the time limit passed before dispatch")
+	}
+	if !a.startInLedger(r) {
+		return notRun(rtwire.Reason_REASON_CANCELLED, "cancelled before its start")
+	}
 	if r.kind == rtwire.Kind_KIND_ORDER {
 		return a.runOrder(ctx, r)
 	}
 	return a.runDraft(ctx, r)
 }
 
+func (a *Agent) startInLedger(r *request) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Start(r.item.ID)
+}
+
 // endRun settles a request whose run has ended and frees what it used.
 func (a *Agent) endRun(r *request, result rtledger.Result) {
 	a.mu.Lock()
--- a/internal/rtfake/network_test.go
+++ b/internal/rtfake/network_test.go
@@ -142,6 +142,7 @@
 		{"cut one way", func(n *Network) { n.Cut(hostA, hostB) }, func(n *Network) { n.Heal(hostA, hostB) }, "", "pong"},
 		{"cut both ways", func(n *Network) { n.CutBoth(hostA, hostB) }, func(n *Network) { n.Heal(hostA, hostB) }, "", ""},
 		{"cut after 3", func(n *Network) { n.CutAfter(hostA, hostB, 3) }, func(n *Network) { n.Heal(hostA, hostB) }, "pin", "pong"},
+		{"cut by address", func(n *Network) { n.Cut(hostA+":1", string(portB)) }, func(n *Network) { n.Heal(hostA, hostB) }, "", "pong"},
 		{"isolate", func(n *Network) { n.Isolate(hostB) }, func(n *Network) { n.Rejoin(hostB) }, "", ""},
 		{"freeze reader", func(n *Network) { n.Freeze(hostA) }, func(n *Network) { n.Thaw(hostA) }, "ping", ""},
 	}
@@ -168,9 +169,9 @@
 	}
 }
 
-// Guards against a frozen process whose writes still leave, and against write
-// deadlines that do not work meanwhile.
-func TestFreezeHoldsWrites(t *testing.T) {
+// Guards against a frozen process whose writes still leave, write deadlines
+// that do not work, and writes without a bound.
+func TestWritesWait(t *testing.T) {
 	bubble(t, func(t *testing.T, network *Network) {
 		client, server := connect(t, network)
 		network.Freeze(hostA)
@@ -180,9 +181,18 @@
 		if n, err := client.Write([]byte("x")); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("got %d, %v, want deadline exceeded", n, err)
 		}
+		network.Thaw(hostA)
+		if err := client.SetWriteDeadline(time.Now().Add(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := client.Write(make([]byte, maxInFlight+1)); n != maxInFlight || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("without a reader: wrote %d bytes, %v, want %d and deadline exceeded", n, err, maxInFlight)
+		}
+		_ = readSecond(t, server)
 		if err := client.SetWriteDeadline(time.Time{}); err != nil {
 			t.Fatal(err)
 		}
+		network.Freeze(hostA)
 		time.AfterFunc(5*time.Second, func() { network.Thaw(hostA) })
 		begin := time.Now()
 		writeAll(t, client, "late")
