Test drafts through refusals, lost replies, cuts, lost agents and a stop

Cause: the paths of a draft beside the plain one were untested. Change: tests in virtual time over the in-memory network. A fake agent blocks on its request's context only, because a channel from outside the bubble stops virtual time.

--- a/internal/rtentry/fake_test.go
+++ b/internal/rtentry/fake_test.go
@@ -95,8 +95,9 @@
 	text   string // of every draft
 	offer  func(*rtwire.OfferRequest) (*rtwire.OfferReply, error)
 	query  func(*rtwire.QueryRequest) (*rtwire.QueryReply, error)
-	cut    int           // the first read ends without an end after this many frames; 0 for never
-	silent chan struct{} // a read waits for it before the first frame, if set
+	cut    int // the first read ends without an end after this many frames; 0 for never
+	onCut  func()
+	silent bool          // a read gets no frame
 	pause  time.Duration // before each frame
 
 	mu      sync.Mutex
@@ -169,14 +170,11 @@
 	a.reads = append(a.reads, offset)
 	first := len(a.reads) == 1
 	a.mu.Unlock()
-	if a.silent != nil {
+	if a.silent {
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
-		select {
-		case <-a.silent:
-		case <-r.Context().Done():
-			return
-		}
+		<-r.Context().Done()
+		return
 	}
 	count := 0
 	for start := int64(0); start < int64(len(a.text)); start += frameSize {
@@ -186,6 +184,9 @@
 			count++
 		}
 		if first && a.cut > 0 && count == a.cut {
+			if a.onCut != nil {
+				a.onCut()
+			}
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -225,12 +226,14 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, agents)
+		defer func() {
+			f.stop()
+			f.client.CloseIdleConnections()
+			if err := <-f.done; err != nil {
+				t.Errorf("Run: %v", err)
+			}
+		}()
 		test(f)
-		f.stop()
-		if err := <-f.done; err != nil {
-			t.Errorf("Run: %v", err)
-		}
-		f.client.CloseIdleConnections()
 	})
 }
 
