Test orders, malformed, slow and oversized input at the entry

Cause: these paths were untested. Found: a body that stopped held its connection forever, because the read deadline was taken back before the server read on to close; the JSON value null passed as an object; an order whose service had not answered in time said that asking again is of no use. Change: the deadline stays after a failed read, null is refused, orders carry advice with a truthful retry.

--- a/internal/rtentry/decode.go
+++ b/internal/rtentry/decode.go
@@ -30,15 +30,17 @@
 	"get an id with POST /v1/orders, then send the order with PUT /v1/orders/{id} and repeat that with the same id"
 
 // readBody reads a request body of at most limit bytes within bodyTimeout.
+// After a failure the deadline stays, because the server reads on to the end
+// of the body before it closes the connection.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
 	control := http.NewResponseController(w)
 	// Connections without deadlines keep the bound of the request's context.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, oversized(rtapi.Finding{Field: "body", Text: fmt.Sprintf("over %d bytes", limit)})
@@ -79,6 +81,10 @@
 		f.add("body", "not a JSON object: %v", err)
 		return f
 	}
+	if f.raw == nil {
+		f.add("body", "not a JSON object: null")
+		return f
+	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		f.add("body", "has data after the JSON object")
 	}
--- a/internal/rtentry/order.go
+++ b/internal/rtentry/order.go
@@ -181,6 +181,7 @@
 	refused := notRun(http.StatusServiceUnavailable, reason, orderRetry(reply), reply.GetDetail())
 	refused.body.ID = string(id)
 	refused.body.Outcome = outcomeOf(reply.GetOutcome())
+	refused.body.Detail = joinDetail(reply.GetDetail(), orderAdvice(refused.body.Outcome, refused.body.Retry))
 	switch {
 	case reason == rtapi.ReasonConflict:
 		refused.status = http.StatusConflict
@@ -196,10 +197,42 @@
 	return refused
 }
 
-// orderRetry reports whether an order may be sent again with the same id. A
-// home that has failed an order, or that has lost its record, never runs the
-// id again, so that another try gets the same answer.
+// orderRetry reports whether another try is safe and can succeed. An order
+// that is not run has a tombstone at its home, so that the next try needs a
+// new id. An unknown one may be asked about with the same id while its home
+// can still learn the result. One that has failed, or whose record is lost,
+// never runs under its id again.
 func orderRetry(reply *rtwire.QueryReply) bool {
-	return reply.GetOutcome() == rtwire.Outcome_OUTCOME_NOT_RUN && retriesElsewhere(reasons[reply.GetReason()]) &&
-		reply.GetReason() != rtwire.Reason_REASON_INCARNATION
+	switch reply.GetOutcome() {
+	case rtwire.Outcome_OUTCOME_NOT_RUN:
+		return retriesElsewhere(reasons[reply.GetReason()])
+	case rtwire.Outcome_OUTCOME_UNKNOWN:
+		return reply.GetReason() == rtwire.Reason_REASON_DEADLINE
+	default:
+		return false
+	}
+}
+
+// orderAdvice tells a caller what to do about an order that is not done.
+func orderAdvice(outcome rtapi.Outcome, retry bool) string {
+	switch {
+	case outcome == rtapi.NotRun && retry:
+		return "it did not run; send it again with a new id"
+	case outcome == rtapi.NotRun:
+		return "this request ran nothing"
+	case outcome == rtapi.Unknown && retry:
+		return "it may have run; ask again with the same id"
+	case outcome == rtapi.Unknown:
+		return "it may have run and is never run again under this id; check with the service before you send it with a new id"
+	default:
+		return "it has started and failed; check with the service before you send it with a new id"
+	}
+}
+
+// joinDetail puts an agent's detail before the advice.
+func joinDetail(detail, advice string) string {
+	if detail == "" {
+		return advice
+	}
+	return detail + "; " + advice
 }
--- a/internal/rtentry/order_test.go
+++ b/internal/rtentry/order_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
 )
 
@@ -19,18 +21,148 @@
 	return id.ID
 }
 
-// Guards against an order whose result does not reach its caller.
+// putOrder sends an order and returns status and body.
+func (f *fixture) putOrder(organisation, id string) (int, rtapi.ErrorBody) {
+	f.t.Helper()
+	status, body := f.call(organisation, http.MethodPut, "/v1/orders/"+id+"?limit=3s", []byte("file it"))
+	var result rtapi.ErrorBody
+	if err := json.Unmarshal(body, &result); err != nil {
+		f.t.Fatalf("status %d: %s", status, body)
+	}
+	return status, result
+}
+
+// Guards against an order whose result does not reach its caller, whichever
+// way the caller asks.
 func TestOrder(t *testing.T) {
 	agent := &fakeAgent{name: "order-1"}
 	run(t, func(f *fixture) {
 		id := f.orderID("court")
-		status, body := f.call("court", http.MethodPut, "/v1/orders/"+id+"?limit=30s", []byte("file it"))
-		var result rtapi.Status
-		if err := json.Unmarshal(body, &result); err != nil || status != http.StatusOK {
-			t.Fatalf("status %d: %s", status, body)
+		if offersOf(agent) != 0 {
+			t.Error("an id alone ran something")
+		}
+		for _, method := range []string{http.MethodPut, http.MethodGet, http.MethodPut, http.MethodDelete} {
+			status, body := f.call("court", method, "/v1/orders/"+id+"?limit=30s", []byte("file it"))
+			var result rtapi.Status
+			if err := json.Unmarshal(body, &result); err != nil || status != http.StatusOK {
+				t.Fatalf("%s: status %d: %s", method, status, body)
+			}
+			if result.ID != id || result.Outcome != rtapi.Done || string(result.Result) != "file it" {
+				t.Errorf("%s: got %+v", method, result)
+			}
+		}
+	}, agent)
+}
+
+// Guards against an order that runs at a second target, is offered without its
+// incarnation, or whose answer claims more than the home has said.
+func TestOrderFaults(t *testing.T) {
+	reply := func(outcome rtwire.Outcome, reason rtwire.Reason) func(*rtwire.OfferRequest) (*rtwire.OfferReply, error) {
+		return func(*rtwire.OfferRequest) (*rtwire.OfferReply, error) {
+			return &rtwire.OfferReply{Outcome: outcome, Reason: reason}, nil
+		}
+	}
+	answer := func(outcome rtwire.Outcome, reason rtwire.Reason) func(*rtwire.QueryRequest) (*rtwire.QueryReply, error) {
+		return func(*rtwire.QueryRequest) (*rtwire.QueryReply, error) {
+			return &rtwire.QueryReply{Outcome: outcome, Reason: reason}, nil
+		}
+	}
+	lost := func(*rtwire.QueryRequest) (*rtwire.QueryReply, error) { panic(http.ErrAbortHandler) }
+	accept := reply(rtwire.Outcome_OUTCOME_ACCEPTED, 0)
+	tests := []struct {
+		name    string
+		offer   func(*rtwire.OfferRequest) (*rtwire.OfferReply, error)
+		query   func(*rtwire.QueryRequest) (*rtwire.QueryReply, error)
+		status  int
+		outcome rtapi.Outcome
+		reason  rtapi.Reason
+		retry   bool
+	}{
+		{"lost reply, done", loseReply, answer(rtwire.Outcome_OUTCOME_DONE, 0), 200, rtapi.Done, "", false},
+		{"lost reply, failed", loseReply, answer(rtwire.Outcome_OUTCOME_FAILED, rtwire.Reason_REASON_TARGET), 502,
+			rtapi.Failed, rtapi.ReasonTarget, false},
+		{"lost reply, restarted", loseReply, answer(rtwire.Outcome_OUTCOME_UNKNOWN, rtwire.Reason_REASON_INCARNATION), 504,
+			rtapi.Unknown, rtapi.ReasonIncarnation, false},
+		{"nothing heard", loseReply, lost, 504, rtapi.Unknown, rtapi.ReasonDeadline, true},
+		{"runs too long", accept, answer(rtwire.Outcome_OUTCOME_ACCEPTED, 0), 504, rtapi.Unknown, rtapi.ReasonDeadline, true},
+		{"service silent", accept, answer(rtwire.Outcome_OUTCOME_UNKNOWN, rtwire.Reason_REASON_DEADLINE), 504,
+			rtapi.Unknown, rtapi.ReasonDeadline, true},
+		{"refused", reply(rtwire.Outcome_OUTCOME_NOT_RUN, rtwire.Reason_REASON_LEAVING), lost, 503,
+			rtapi.NotRun, rtapi.ReasonLeaving, true},
+		{"other body", reply(rtwire.Outcome_OUTCOME_NOT_RUN, rtwire.Reason_REASON_CONFLICT), lost, 409,
+			rtapi.NotRun, rtapi.ReasonConflict, false},
+		{"restarted", reply(rtwire.Outcome_OUTCOME_UNKNOWN, rtwire.Reason_REASON_INCARNATION), lost, 504,
+			rtapi.Unknown, rtapi.ReasonIncarnation, false},
+		{"expired", reply(rtwire.Outcome_OUTCOME_UNKNOWN, rtwire.Reason_REASON_EXPIRED), lost, 504,
+			rtapi.Unknown, rtapi.ReasonExpired, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			home := &fakeAgent{name: "order-1", offer: test.offer, query: test.query}
+			run(t, func(f *fixture) {
+				id := f.orderID("court")
+				other := f.addLater("order-2")
+				began := time.Now()
+				status, result := f.putOrder("court", id)
+				if status != test.status || result.Outcome != test.outcome || result.Reason != test.reason ||
+					result.Retry != test.retry || result.ID != id {
+					t.Errorf("status %d: %+v", status, result)
+				}
+				if took := time.Since(began); took > 3250*time.Millisecond {
+					t.Errorf("took %v", took)
+				}
+				if offersOf(home) != 1 || offersOf(other) != 0 {
+					t.Errorf("%d offers to the home, %d elsewhere", offersOf(home), offersOf(other))
+				}
+				if home.offers[0].GetIncarnation() != testIncarnation || home.offers[0].GetRequest() != id {
+					t.Errorf("offered as %v", home.offers[0])
+				}
+			}, home)
+		})
+	}
+}
+
+// Guards against an offer that never arrived and is not repeated at its home.
+func TestOrderOfferedAgain(t *testing.T) {
+	home := &fakeAgent{name: "order-1"}
+	lost := 0
+	home.offer = func(offer *rtwire.OfferRequest) (*rtwire.OfferReply, error) {
+		if lost++; lost == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		home.mu.Lock()
+		defer home.mu.Unlock()
+		home.results = map[string]*rtwire.QueryReply{offer.GetRequest(): {Outcome: rtwire.Outcome_OUTCOME_DONE}}
+		return &rtwire.OfferReply{Outcome: rtwire.Outcome_OUTCOME_ACCEPTED}, nil
+	}
+	run(t, func(f *fixture) {
+		if status, result := f.putOrder("court", f.orderID("court")); status != http.StatusOK || result.Outcome != rtapi.Done {
+			t.Errorf("status %d: %+v", status, result)
+		}
+	}, home)
+}
+
+// Guards against an order of one organisation that another reads, prevents or
+// runs, and against a home that has left the list of VMs.
+func TestOrderForeignAndGone(t *testing.T) {
+	agent := &fakeAgent{name: "order-1"}
+	run(t, func(f *fixture) {
+		id := f.orderID("court")
+		for _, method := range []string{http.MethodGet, http.MethodDelete, http.MethodPut} {
+			if status, body := f.call("studio", method, "/v1/orders/"+id+"?limit=3s", nil); status != http.StatusNotFound {
+				t.Errorf("%s by another organisation: status %d: %s", method, status, body)
+			}
+		}
+		if offersOf(agent) != 0 || agent.queries != 0 {
+			t.Error("home was asked by another organisation")
 		}
-		if result.ID != id || result.Outcome != rtapi.Done || string(result.Result) != "file it" {
-			t.Errorf("got %+v", result)
+		f.node.mu.Lock()
+		delete(f.node.views, "order-1")
+		f.node.mu.Unlock()
+		status, result := f.putOrder("court", id)
+		if status != http.StatusGatewayTimeout || result.Outcome != rtapi.Unknown ||
+			result.Reason != rtapi.ReasonUnreachable || !result.Retry {
+			t.Errorf("home left the list: status %d: %+v", status, result)
 		}
 	}, agent)
 }
