--- a/internal/rtentry/draft.go
+++ b/internal/rtentry/draft.go
@@ -180,7 +180,7 @@
 // retriesElsewhere reports whether another target may accept what one refused.
 func retriesElsewhere(reason rtapi.Reason) bool {
 	switch reason {
-	case rtapi.ReasonPlan, rtapi.ReasonConflict, rtapi.ReasonMalformed, rtapi.ReasonCancelled, rtapi.ReasonExpired:
+	case rtapi.ReasonPlan, rtapi.ReasonConflict, rtapi.ReasonMalformed, rtapi.ReasonCancelled, rtapi.ReasonNotFound:
 		return false
 	default:
 		return true
--- a/internal/rtentry/draft_test.go
+++ b/internal/rtentry/draft_test.go
@@ -135,20 +135,7 @@
 			}
 			run(t, func(f *fixture) {
 				other := f.addLater("engine-2")
-				began := time.Now()
-				if test.outcome == rtapi.Done {
-					if text, _, end := answerOf(t, f.draft("3s")); text != testText || end.Outcome != rtapi.Done {
-						t.Errorf("got %q and %+v", text, end)
-					}
-				} else {
-					status, refused := f.postDraft("3s")
-					if status != http.StatusGatewayTimeout || refused.Outcome != test.outcome || !refused.Retry {
-						t.Errorf("status %d: %+v", status, refused)
-					}
-					if took := time.Since(began); took < 3*time.Second || took > 3250*time.Millisecond {
-						t.Errorf("took %v", took)
-					}
-				}
+				f.checkEnd(test.outcome)
 				if got := offersOf(lossy); got != test.offers {
 					t.Errorf("%d offers to the first target, want %d", got, test.offers)
 				}
@@ -160,6 +147,26 @@
 	}
 }
 
+// checkEnd posts a draft with a time limit of 3 s. Without its answer it must
+// have the outcome at the time limit.
+func (f *fixture) checkEnd(outcome rtapi.Outcome) {
+	f.t.Helper()
+	if outcome == rtapi.Done {
+		if text, _, end := answerOf(f.t, f.draft("3s")); text != testText || end.Outcome != rtapi.Done {
+			f.t.Errorf("got %q and %+v", text, end)
+		}
+		return
+	}
+	began := time.Now()
+	status, refused := f.postDraft("3s")
+	if status != http.StatusGatewayTimeout || refused.Outcome != outcome || !refused.Retry {
+		f.t.Errorf("status %d: %+v", status, refused)
+	}
+	if took := time.Since(began); took < 3*time.Second || took > 3250*time.Millisecond {
+		f.t.Errorf("took %v", took)
+	}
+}
+
 // addLater adds a target with so much load that it is offered a draft only
 // after the others have refused.
 func (f *fixture) addLater(name string) *fakeAgent {
@@ -175,7 +182,7 @@
 	lost := &fakeAgent{name: "engine-1", text: testText, cut: 2}
 	run(t, func(f *fixture) {
 		other := f.addLater("engine-2")
-		lost.onCut = func() { f.node.replace("engine-1", testIncarnation+1) }
+		lost.onCut = func() { f.node.replace("engine-1") }
 		text, starts, end := answerOf(t, f.draft("30s"))
 		if text != testText || starts != 2 || end.Outcome != rtapi.Done {
 			t.Fatalf("got %q with %d starts and %+v", text, starts, end)
@@ -196,10 +203,10 @@
 		other := f.addLater("engine-2")
 		third := f.addLater("engine-3")
 		other.cut = 1
-		lost.onCut = func() { f.node.replace("engine-1", testIncarnation+1) }
-		other.onCut = func() { f.node.replace("engine-2", testIncarnation+1) }
+		lost.onCut = func() { f.node.replace("engine-1") }
+		other.onCut = func() { f.node.replace("engine-2") }
 		third.cut = 1
-		third.onCut = func() { f.node.replace("engine-3", testIncarnation+1) }
+		third.onCut = func() { f.node.replace("engine-3") }
 		_, starts, end := answerOf(t, f.draft("30s"))
 		if starts != 2 || end.Outcome != rtapi.Failed || end.Reason != rtapi.ReasonIncarnation || !end.Retry {
 			t.Errorf("%d starts and %+v", starts, end)
@@ -292,7 +299,7 @@
 			t.Errorf("ready with status %d during a planned stop", status)
 		}
 		<-time.After(balancerDelay + time.Second) // virtual time
-		if _, err := f.send("court", http.MethodGet, "/ready", nil); err == nil {
+		if _, err := f.network.Host("10.0.9.9").Dial(t.Context(), callersAddress); err == nil {
 			t.Error("new connection during a planned stop")
 		}
 		read, err := io.ReadAll(response.Body)
@@ -304,3 +311,67 @@
 		}
 	}, agent)
 }
+
+// Guards against an accepted draft that its target gives up before the start
+// and that is not offered elsewhere.
+func TestDraftDroppedFromQueue(t *testing.T) {
+	drops := &fakeAgent{name: "engine-1"}
+	drops.final.Outcome = rtwire.Outcome_OUTCOME_NOT_RUN
+	drops.final.Reason = rtwire.Reason_REASON_ZONE_OUT
+	run(t, func(f *fixture) {
+		f.addLater("engine-2")
+		text, starts, end := answerOf(t, f.draft("30s"))
+		if text != testText || starts != 2 || end.Outcome != rtapi.Done {
+			t.Errorf("got %q with %d starts and %+v", text, starts, end)
+		}
+	}, drops)
+}
+
+// Guards against a draft that waits for a VM that has vanished without closing
+// its connections.
+func TestDraftAgentVanished(t *testing.T) {
+	lost := &fakeAgent{name: "engine-1", text: testText, pause: time.Second}
+	run(t, func(f *fixture) {
+		f.addLater("engine-2")
+		go func() {
+			<-time.After(2500 * time.Millisecond)
+			f.network.Isolate("10.0.1.1")
+			f.node.mu.Lock()
+			view := f.node.views["engine-1"]
+			view.Alive = false
+			f.node.views["engine-1"] = view
+			f.node.mu.Unlock()
+		}()
+		began := time.Now()
+		text, starts, end := answerOf(t, f.draft("60s"))
+		if text != testText || starts != 2 || end.Outcome != rtapi.Done {
+			t.Errorf("got %q with %d starts and %+v", text, starts, end)
+		}
+		if took := time.Since(began); took > 10*time.Second {
+			t.Errorf("took %v", took)
+		}
+		f.network.Rejoin("10.0.1.1")
+	}, lost)
+}
+
+// Guards against a caller that reads nothing and holds a request past its time
+// limit.
+func TestDraftSlowReader(t *testing.T) {
+	agent := &fakeAgent{name: "engine-1", text: strings.Repeat("long answer ", 20_000)}
+	run(t, func(f *fixture) {
+		body := `{"service":"drafts","prompt":"p","output":10,"limit":"5s"}`
+		response, err := f.send("court", http.MethodPost, "/v1/drafts", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		if f.entry.drafts.Load() != 1 {
+			t.Fatal("draft ended although nothing was read")
+		}
+		<-time.After(5250 * time.Millisecond)
+		synctest.Wait()
+		if got := f.entry.drafts.Load(); got != 0 {
+			t.Errorf("%d drafts run after the time limit", got)
+		}
+	}, agent)
+}
--- a/internal/rtentry/fake_test.go
+++ b/internal/rtentry/fake_test.go
@@ -80,11 +80,11 @@
 }
 
 // replace makes a later incarnation of a target known.
-func (n *fakeNode) replace(target rtid.Target, incarnation uint64) {
+func (n *fakeNode) replace(target rtid.Target) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	view := n.views[target]
-	view.Status = &rtwire.Status{Ready: true, Incarnation: incarnation, Load: view.Status.GetLoad()}
+	view.Status = &rtwire.Status{Ready: true, Incarnation: testIncarnation + 1, Load: view.Status.GetLoad()}
 	n.views[target] = view
 }
 
@@ -99,6 +99,7 @@
 	onCut  func()
 	silent bool          // a read gets no frame
 	pause  time.Duration // before each frame
+	final  rtwire.Final  // outcome and reason of the end; done if zero
 
 	mu      sync.Mutex
 	offers  []*rtwire.OfferRequest
@@ -190,9 +191,12 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if a.final.Outcome == 0 {
+		a.final.Outcome = rtwire.Outcome_OUTCOME_DONE
+	}
 	total := uint64((len(a.text) + frameSize - 1) / frameSize)
 	a.send(w, r, &rtwire.Frame{Sequence: total, Offset: int64(len(a.text)), Final: &rtwire.Final{
-		Outcome: rtwire.Outcome_OUTCOME_DONE, Count: total,
+		Outcome: a.final.Outcome, Reason: a.final.Reason, Count: total,
 		Size: int64(len(a.text)), Checksum: xxhash.Sum64String(a.text),
 	}})
 }
--- /dev/null
+++ b/pkg/rtapi/client_test.go
@@ -0,0 +1,181 @@
+package rtapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// step is one answer of a scripted entry.
+type step struct {
+	status int
+	body   string
+	cut    bool // the connection breaks after the body
+}
+
+// script is an entry that answers calls with its steps in order.
+type script struct {
+	steps []step
+	calls []string // method, path and query
+}
+
+// RoundTrip answers in memory, so that tests need no sockets.
+func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
+	call := r.Method + " " + r.URL.Host + r.URL.Path
+	if r.URL.RawQuery != "" {
+		call += "?" + r.URL.RawQuery
+	}
+	s.calls = append(s.calls, call)
+	if len(s.steps) == 0 {
+		return nil, errors.New("no more steps")
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	if next.status == 0 {
+		return nil, io.ErrUnexpectedEOF
+	}
+	recorder := httptest.NewRecorder()
+	recorder.WriteHeader(next.status)
+	_, _ = recorder.WriteString(next.body)
+	response := recorder.Result()
+	if next.cut {
+		response.Body = io.NopCloser(io.MultiReader(strings.NewReader(next.body), brokenReader{}))
+	}
+	return response, nil
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func newClient(steps ...step) (*Client, *script) {
+	s := &script{steps: steps}
+	return &Client{Entries: []string{"http://a", "http://b"}, Organisation: "court", HTTP: &http.Client{Transport: s}}, s
+}
+
+const (
+	start   = `{"event":"start","id":"d.1"}` + "\n"
+	first   = `{"event":"text","offset":0,"text":"ab"}` + "\n"
+	second  = `{"event":"text","offset":2,"text":"cd"}` + "\n"
+	unknown = `{"id":"o.1","outcome":"unknown","reason":"unreachable","retry":true}`
+	notRun  = `{"id":"o.1","outcome":"notrun","reason":"queue","retry":true}`
+	done    = `{"id":"o.1","outcome":"done","result":"eA=="}`
+)
+
+func endOf(text string) string {
+	return fmt.Sprintf(`{"event":"end","outcome":"done","reason":"","size":%d,"checksum":"%016x","retry":false}`+"\n",
+		len(text), xxhash.Sum64String(text))
+}
+
+// synctestRun runs a subtest in virtual time.
+func synctestRun(t *testing.T, name string, test func(*testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
+// Guards against an answer with a gap or a repetition after a cut, and against
+// damage that passes as an answer.
+func TestDraft(t *testing.T) {
+	failed := `{"event":"end","outcome":"failed","reason":"target","size":2,"checksum":"","retry":true}`
+	tests := []struct {
+		name  string
+		steps []step
+		text  string
+		calls []string
+		want  error // nil for done
+	}{
+		{"whole", []step{{200, start + first + second + endOf("abcd"), false}}, "abcd", []string{"POST a/v1/drafts"}, nil},
+		{"cut and resumed elsewhere", []step{{200, start + first, true}, {200, start + second + endOf("abcd"), false}}, "abcd",
+			[]string{"POST a/v1/drafts", "GET b/v1/drafts/d.1?offset=2"}, nil},
+		{"cut without error", []step{{200, start + first, false}, {0, "", false}, {200, start + second + endOf("abcd"), false}}, "abcd",
+			[]string{"POST a/v1/drafts", "GET b/v1/drafts/d.1?offset=2", "GET a/v1/drafts/d.1?offset=2"}, nil},
+		{"lost before the start", []step{{0, "", false}, {200, start + first + endOf("ab"), false}}, "ab",
+			[]string{"POST a/v1/drafts", "POST b/v1/drafts"}, nil},
+		{"moved", []step{{200, start + first + strings.Replace(start, "d.1", "d.2", 1) + second + endOf("abcd"), false}}, "abcd",
+			[]string{"POST a/v1/drafts"}, nil},
+		{"gap", []step{{200, start + second + endOf("cd"), false}}, "", []string{"POST a/v1/drafts"}, ErrDamaged},
+		{"wrong checksum", []step{{200, start + first + endOf("xy"), false}}, "ab", []string{"POST a/v1/drafts"}, ErrDamaged},
+		{"failed", []step{{200, start + first + failed, false}}, "ab", []string{"POST a/v1/drafts"}, &Error{}},
+		{"refused", []step{{503, notRun, false}}, "", []string{"POST a/v1/drafts"}, &Error{}},
+	}
+	for _, test := range tests {
+		synctestRun(t, test.name, func(t *testing.T) {
+			client, script := newClient(test.steps...)
+			var text strings.Builder
+			_, err := client.Draft(t.Context(), DraftRequest{}, &text)
+			if text.String() != test.text || !slices.Equal(script.calls, test.calls) {
+				t.Errorf("got %q by %q", text.String(), script.calls)
+			}
+			var failure *Error
+			if wanted, ok := test.want.(*Error); ok && !errors.As(err, &failure) {
+				t.Errorf("got %v, want %T", err, wanted)
+			} else if !ok && !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// Guards against an order that is sent with a second id while it may have run
+// under the first.
+func TestOrder(t *testing.T) {
+	id := step{201, `{"id":"o.1"}`, false}
+	other := step{201, `{"id":"o.2"}`, false}
+	post, postB := "POST a/v1/orders", "POST b/v1/orders"
+	put, putB := "PUT a/v1/orders/o.1?limit=1s", "PUT b/v1/orders/o.1?limit=1s"
+	tests := []struct {
+		name    string
+		steps   []step
+		calls   []string
+		outcome Outcome
+	}{
+		{"done", []step{id, {200, done, false}}, []string{post, put}, Done},
+		{"id lost", []step{{}, id, {200, done, false}}, []string{post, postB, putB}, Done},
+		{"answer lost", []step{id, {}, {200, done, false}}, []string{post, put, putB}, Done},
+		{"answer cut", []step{id, {200, `{"id":`, true}, {200, done, false}}, []string{post, put, putB}, Done},
+		{"unknown, asked again", []step{id, {504, unknown, false}, {200, done, false}}, []string{post, put, putB}, Done},
+		{"entry not ready after a lost answer", []step{id, {}, {503, `{"outcome":"notrun","reason":"notready","retry":true}`, false},
+			{200, done, false}}, []string{post, put, putB, put}, Done},
+		{"not run, new id", []step{id, {503, notRun, false}, other, {200, done, false}},
+			[]string{post, put, postB, "PUT b/v1/orders/o.2?limit=1s"}, Done},
+		{"unknown for good", []step{id, {504, strings.Replace(unknown, "true", "false", 1), false}}, []string{post, put}, Unknown},
+		{"failed", []step{id, {502, `{"id":"o.1","outcome":"failed","reason":"target","retry":false}`, false}}, []string{post, put}, Failed},
+	}
+	for _, test := range tests {
+		synctestRun(t, test.name, func(t *testing.T) {
+			client, script := newClient(test.steps...)
+			status, err := client.Order(t.Context(), "filings", []byte("x"), time.Second)
+			var failure *Error
+			outcome := status.Outcome
+			if errors.As(err, &failure) {
+				outcome = failure.Body.Outcome
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			if outcome != test.outcome || !slices.Equal(script.calls, test.calls) {
+				t.Errorf("got %v by %q", outcome, script.calls)
+			}
+		})
+	}
+}
+
+// Guards against an order that seems to have failed when nobody knows.
+func TestOrderContext(t *testing.T) {
+	client, _ := newClient(step{201, `{"id":"o.1"}`, false})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, err := client.Order(ctx, "filings", nil, time.Second)
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Body.Outcome != Unknown || failure.Body.ID != "o.1" || !failure.Body.Retry {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/pkg/rtapi/draft.go
@@ -0,0 +1,154 @@
+package rtapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ErrDamaged is an answer that does not match its end event.
+var ErrDamaged = errors.New("answer does not match its end event")
+
+// errCut is a stream that stopped before its end event.
+var errCut = errors.New("stream was cut")
+
+// Answer describes a whole answer.
+type Answer struct {
+	ID       string // of the last target that worked on it
+	Size     int64  // bytes
+	Checksum string // xxhash64 as 16 hexadecimal digits
+}
+
+// reading is the state of one draft that is read.
+type reading struct {
+	w      io.Writer
+	id     string // empty before the first start event
+	size   int64  // bytes written to w
+	digest *xxhash.Digest
+}
+
+// Draft sends a drafting request and writes the answer to w as it arrives. A
+// stream that is cut is resumed where it stopped, at the next entry, until ctx
+// ends. A request whose answer has not started is sent again, because a draft
+// has no side effect.
+//
+// If the outcome is not Done the error is an *Error, whose body tells whether
+// the same request may be sent again. ErrDamaged means that what was written to
+// w is not the answer. An error of w ends the reading.
+func (c *Client) Draft(ctx context.Context, request DraftRequest, w io.Writer) (Answer, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return Answer{}, fmt.Errorf("encode request: %w", err)
+	}
+	r := &reading{w: w, digest: xxhash.New()}
+	var t try
+	for {
+		response, err := c.openDraft(ctx, t, r, body)
+		if err == nil {
+			var answer Answer
+			answer, err = r.read(response.Body)
+			_ = response.Body.Close()
+			if err == nil {
+				return answer, nil
+			}
+		}
+		if !resumable(err) {
+			return Answer{ID: r.id, Size: r.size}, err
+		}
+		if t.wait(ctx) != nil {
+			return Answer{ID: r.id, Size: r.size}, err
+		}
+	}
+}
+
+// openDraft sends the request, or resumes the answer once its id is known.
+func (c *Client) openDraft(ctx context.Context, t try, r *reading, body []byte) (*http.Response, error) {
+	if r.id == "" {
+		return c.send(ctx, t, http.MethodPost, "/v1/drafts", body)
+	}
+	path := fmt.Sprintf("/v1/drafts/%s?offset=%d", url.PathEscape(r.id), r.size)
+	return c.send(ctx, t, http.MethodGet, path, nil)
+}
+
+// resumable reports whether another entry may have the rest of the answer. A
+// refusal is final, except that a home could not be reached.
+func resumable(err error) bool {
+	var failure *Error
+	var write *writeError
+	switch {
+	case errors.As(err, &failure):
+		return failure.Body.Reason == ReasonUnreachable && failure.Body.Outcome == Unknown
+	case errors.As(err, &write), errors.Is(err, ErrDamaged), errors.Is(err, errNoEntries):
+		return false
+	default:
+		return true
+	}
+}
+
+// read takes in one stream until its end event.
+func (r *reading) read(stream io.Reader) (Answer, error) {
+	decoder := json.NewDecoder(stream)
+	for {
+		var event Event
+		if err := decoder.Decode(&event); err != nil {
+			return Answer{}, fmt.Errorf("%w: %w", errCut, err)
+		}
+		switch event.Event {
+		case EventStart:
+			r.id = event.ID
+		case EventText:
+			if err := r.write(event); err != nil {
+				return Answer{}, err
+			}
+		case EventEnd:
+			return r.end(event)
+		}
+	}
+}
+
+// writeError is an error of the caller's writer.
+type writeError struct {
+	cause error
+}
+
+func (e *writeError) Error() string { return "write answer: " + e.cause.Error() }
+func (e *writeError) Unwrap() error { return e.cause }
+
+// write passes text on.
+func (r *reading) write(event Event) error {
+	if event.Offset != r.size {
+		return fmt.Errorf("%w: text at %d, want %d", ErrDamaged, event.Offset, r.size)
+	}
+	written, err := io.WriteString(r.w, event.Text)
+	r.size += int64(written)
+	if err != nil {
+		return &writeError{err}
+	}
+	// Write of a digest never returns an error.
+	_, _ = r.digest.WriteString(event.Text)
+	return nil
+}
+
+// end verifies the answer.
+func (r *reading) end(event Event) (Answer, error) {
+	if event.Outcome != Done {
+		return Answer{}, &Error{Status: http.StatusOK, Body: ErrorBody{
+			ID:      r.id,
+			Outcome: event.Outcome,
+			Reason:  event.Reason,
+			Retry:   event.Retry,
+		}}
+	}
+	checksum := fmt.Sprintf("%016x", r.digest.Sum64())
+	if event.Size != r.size || event.Checksum != checksum {
+		return Answer{}, fmt.Errorf("%w: %d bytes with checksum %s, want %d with %s", ErrDamaged,
+			r.size, checksum, event.Size, event.Checksum)
+	}
+	return Answer{ID: r.id, Size: r.size, Checksum: checksum}, nil
+}
