--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -31,6 +31,7 @@
 const (
 	maxWaiting            = 1024
 	maxBodies  rtid.Bytes = 256 << 20 // waiting bodies together
+	maxAnswers rtid.Bytes = 256 << 20 // answers together, checked when a request is offered
 )
 
 // Node is the part of rtnode.Node that the agent uses. Its methods must not
@@ -70,6 +71,7 @@
 	engine   *rttarget.Engine  // nil beside a plain service
 	service  *rttarget.Service // nil beside an engine
 	wake     chan struct{}     // holds a value when the dispatcher has work
+	check    chan struct{}     // holds a value when the target must be checked at once
 	fenced   chan error        // holds the reason why a later agent owns the target
 	failed   chan error        // ends of listeners, nil after a planned stop
 
@@ -81,13 +83,17 @@
 	pace      pace
 	pause     pause
 	requests  map[rtid.Request]*request // until their answers are gone
+	parked    map[rtid.Request]*request // wait for the next try to reserve memory elsewhere
 	held      map[rtid.Request]bool     // holds at the engine for groups led elsewhere
 	strangers map[rtid.Request]bool     // unknown at the engine in the last reconciliation
 	tasks     []*rttask.Task            // one a running request, owned by the dispatcher
 	ready     bool
 	leaving   bool
-	down      bool  // the target does not answer
-	start     int64 // of the target, 0 before its first report
+	down      bool       // the target does not answer
+	suspect   bool       // the target broke a call and has not been checked since
+	start     int64      // of the target, 0 before its first report
+	broken    time.Time  // last failure of the target
+	kept      rtid.Bytes // of all answers at the last tick
 }
 
 // New returns an agent that has not started.
@@ -102,6 +108,7 @@
 		scrape:    dependencies.Metrics.Handler,
 		client:    client,
 		wake:      make(chan struct{}, 1),
+		check:     make(chan struct{}, 1),
 		fenced:    make(chan error, 1),
 		failed:    make(chan error, listeners),
 		ledger:    rtledger.New(rtledger.DefaultLimits, now),
@@ -111,6 +118,7 @@
 		pace:      newPace(settings.Rate),
 		pause:     pause{latest: now},
 		requests:  make(map[rtid.Request]*request),
+		parked:    make(map[rtid.Request]*request),
 		held:      make(map[rtid.Request]bool),
 		strangers: make(map[rtid.Request]bool),
 	}
--- a/internal/rtagent/reconcile.go
+++ b/internal/rtagent/reconcile.go
@@ -17,6 +17,9 @@
 	reconcilePeriod = 2 * time.Second
 	// prepareRetry is the wait between two tries to reach the target at start.
 	prepareRetry = 250 * time.Millisecond
+	// restartNotice is the longest time between a call that a restart of the
+	// target broke and the report of the restart, which lags.
+	restartNotice = reconcilePeriod + 2*time.Second
 	// callTimeout bounds control calls to the target.
 	callTimeout = time.Second
 )
@@ -47,10 +50,20 @@
 		return nil
 	}
 	a.setReady()
-	for sleep(ctx, reconcilePeriod) {
-		a.reconcile(ctx)
+	ticker := time.NewTicker(reconcilePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.check:
+		case <-ticker.C:
+			a.reconcile(ctx)
+			continue
+		}
+		// Apart from the periods, so that two sightings of a stream stay apart.
+		a.checkTarget(ctx)
 	}
-	return nil
 }
 
 func sleep(ctx context.Context, wait time.Duration) bool {
@@ -136,14 +149,7 @@
 
 // reconcile compares the target with the agent's own state.
 func (a *Agent) reconcile(ctx context.Context) {
-	load, err := a.targetLoad(ctx)
-	if err != nil {
-		a.setDown(true)
-		return
-	}
-	a.noticeRestart(load.Start)
-	a.setDown(false)
-	if a.engine == nil {
+	if !a.checkTarget(ctx) || a.engine == nil {
 		return
 	}
 	streams, err := a.streams(ctx)
@@ -157,14 +163,28 @@
 	}
 }
 
+// checkTarget reads the target's report and reports whether it answers.
+func (a *Agent) checkTarget(ctx context.Context) bool {
+	load, err := a.targetLoad(ctx)
+	if err == nil {
+		a.noticeRestart(load.Start)
+	}
+	if ctx.Err() == nil {
+		a.setDown(err != nil)
+	}
+	return err == nil
+}
+
 // setDown takes in whether the target answers. A target that does not answer
 // gets no new work, and waiting requests can still run elsewhere.
 func (a *Agent) setDown(down bool) {
 	a.mu.Lock()
 	changed := a.down != down
 	a.down = down
+	a.suspect = false
+	a.signal()
 	if down {
-		a.warm.Reset()
+		a.moveWarm(a.warm.Reset)
 		a.abandonWaiting(rtwire.Reason_REASON_TARGET, "the target does not answer")
 	}
 	serving := a.serving()
@@ -175,7 +195,8 @@
 	}
 }
 
-// noticeRestart fails what ran at an engine that has restarted since. A plain
+// noticeRestart fails what ran at an engine that has restarted since. What
+// started after the last broken call runs at the new start already. A plain
 // service is left alone: what became of its calls shows in their own answers.
 func (a *Agent) noticeRestart(start int64) {
 	a.mu.Lock()
@@ -185,12 +206,21 @@
 	}
 	a.log.Info("target has restarted", "before", a.start, "after", start)
 	a.start = start
-	a.warm.Reset()
+	before := a.broken
+	if now := time.Now(); now.Sub(before) > restartNotice {
+		before = now
+		a.moveWarm(a.warm.Reset)
+	}
 	if a.engine == nil {
 		return
 	}
+	for group := range a.held {
+		// The leader learns it when it renews.
+		a.memory.Release(group)
+		delete(a.held, group)
+	}
 	for _, r := range a.requests {
-		if r.cancel == nil {
+		if r.cancel == nil || r.popped.After(before) {
 			continue
 		}
 		a.settle(r, rtledger.Result{
@@ -199,8 +229,8 @@
 			Detail: errRestarted.Error(),
 		})
 		r.cancel(errRestarted)
+		a.memory.Release(r.item.ID)
 	}
-	a.memory.Reset()
 }
 
 // unknownTwice returns the streams that were unknown in this and in the last
--- a/internal/rtfake/enginehttp.go
+++ b/internal/rtfake/enginehttp.go
@@ -83,6 +83,8 @@
 			return
 		case <-g.ready:
 		}
+		// A frozen engine writes nothing. After a crash the chunk tells.
+		_ = e.waitThawed(r.Context())
 		e.mu.Lock()
 		chunk, broken := g.takeChunk(), g.broken
 		e.mu.Unlock()
@@ -120,6 +122,7 @@
 	}
 	g.prefill = max(0, g.prefill-e.cache.lookup(request.Prompt))
 	e.executions[request.ID]++
+	e.stats.Started++
 	e.batch.add(g)
 	e.checkColdLocked()
 	e.recordLoadLocked(time.Now())
