Start cells of the fault matrix with complete views

Cause: stop-agent/offer ended in 13 of 1000 runs with a draft refused as not run (leaving or capacity). A cell began when each entry had served one draft, and an entry that had met an agent before it was ready knew of no other target until the next heartbeat. The refusals were true. Ruled out: the retry budget; its refusal carries another reason. Change: a cell waits until all processes are ready and one heartbeat interval more. The check of the cell is unchanged.

--- a/internal/rtfleet/cell_test.go
+++ b/internal/rtfleet/cell_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,10 @@
 	faultLength = 4 * time.Second
 	settleTime  = 10 * time.Second // until leases, expiries and reconciliation are over
 	linkDelay   = 2 * time.Millisecond
+	// viewTime is a heartbeat interval with its jitter: until then an entry
+	// may know only the agents that were ready at its first heartbeat, and
+	// refuses for lack of targets.
+	viewTime    = 1200 * time.Millisecond
 	outputLimit = 20
 	promptSize  = 128 << 10 // bytes, 32k tokens: 4 steps of prefill
 )
@@ -98,6 +103,8 @@
 			document: testDocument(), version: 1,
 		}
 		defer c.close()
+		c.until("all processes are ready", c.ready)
+		c.wait(viewTime)
 		c.until("the fleet serves", c.serves)
 		body(c)
 		c.finish()
@@ -137,6 +144,32 @@
 	return Caller{Client: c.client, Entry: c.fleet.Entries[zone].Callers, Organisation: "high-court"}
 }
 
+// processes returns all entries and agents.
+func (c *cell) processes() []*Process {
+	return slices.Concat(c.fleet.Entries, c.fleet.Agents)
+}
+
+// ready reports whether every process says that it is ready.
+func (c *cell) ready() bool {
+	for _, process := range c.processes() {
+		status, err := c.status(process)
+		if err != nil || !status.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+// status reads the status of a process as an operator does.
+func (c *cell) status(process *Process) (processStatus, error) {
+	operator := Caller{Client: c.client, Entry: process.Operators}
+	ctx, cancel := context.WithTimeout(c.ctx, cellLimit)
+	defer cancel()
+	var status processStatus
+	err := operator.Call(ctx, http.MethodGet, "/status", nil, &status)
+	return status, err
+}
+
 // serves reports whether every entry accepts a short draft and issues order
 // ids.
 func (c *cell) serves() bool {
