Watch configuration versions and closed targets during each cell

A monitor samples the status of every process and the work of every target twice a second. It fails when a version goes back within one incarnation and when a target in an availability zone that is out, or beside an agent that is leaving, starts work later than the bound after the news.

--- a/internal/rtfleet/fault_test.go
+++ b/internal/rtfleet/fault_test.go
@@ -57,6 +57,7 @@
 // restart runs a new incarnation of a process.
 func (c *cell) restart(process *Process) {
 	c.t.Helper()
+	c.monitor.restarted(process)
 	if err := c.fleet.Start(process); err != nil {
 		c.t.Error(err)
 	}
@@ -71,6 +72,12 @@
 	c.restart(process)
 }
 
+// stop begins a planned stop of a process.
+func (c *cell) stop(process *Process) {
+	c.monitor.close(process.Target)
+	process.BeginStop()
+}
+
 // pair combines two faults.
 func pair(first, second func(*cell, victims)) func(*cell, victims) {
 	return func(c *cell, v victims) {
