--- a/internal/rtfleet/cell_test.go
+++ b/internal/rtfleet/cell_test.go
@@ -31,6 +31,7 @@
 	// refuses for lack of targets.
 	viewTime    = 1200 * time.Millisecond
 	outputLimit = 20
+	orderBody   = "file with the registry"
 	promptSize  = 128 << 10 // bytes, 32k tokens: 4 steps of prefill
 )
 
@@ -288,7 +289,7 @@
 	var status rtapi.Status
 	path := fmt.Sprintf("/v1/orders/%s?limit=%v", run.id, cellLimit)
 	caller := c.caller(zone % len(c.fleet.Entries))
-	err := caller.Call(ctx, method, path, []byte("file with the registry"), &status)
+	err := caller.Call(ctx, method, path, []byte(orderBody), &status)
 	if err == nil && status.ID == "" && status.Reason == "" {
 		err = errors.New("empty answer")
 	}
