Add scenarios of several events to the proof of the invariants

Bursts at fresh, cold and returning engines, an availability zone that is out for long while entries are cut off from the news, holds of strangers, restarts beside a busy engine, doubled planned stops, resume at another entry, refused, large and rolled-back documents, and a start beside a peer that is behind. Prompts larger than one engine are left out until agents find their neighbours.

--- a/internal/rtfleet/cell_test.go
+++ b/internal/rtfleet/cell_test.go
@@ -1,6 +1,7 @@
 package rtfleet
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -57,6 +58,9 @@
 // draftRun is one draft and what its caller saw.
 type draftRun struct {
 	prompt  []byte
+	output  int
+	limit   time.Duration
+	zone    int // of the entry that gets it first
 	seen    Draft
 	err     error // of the last stream
 	sent    time.Time
@@ -208,24 +212,48 @@
 // draft sends a draft through the entry of the first availability zone. When
 // the stream breaks, the caller resumes through the other entries.
 func (c *cell) draft(name string) *draftRun {
-	prompt := make([]byte, promptSize)
+	return c.send(name, draftRun{prompt: promptOf(name, promptSize), output: outputLimit, limit: cellLimit})
+}
+
+// long sends a draft with a long answer.
+func (c *cell) long(name string, output int, limit time.Duration) *draftRun {
+	return c.send(name, draftRun{prompt: promptOf(name, 4<<10), output: output, limit: limit})
+}
+
+// sized sends a draft with a prompt of a size through the next entry.
+func (c *cell) sized(name string, size int) *draftRun {
+	number := len(c.drafts)
+	name = fmt.Sprintf("%s-%d", name, number)
+	return c.send(name, draftRun{
+		prompt: promptOf(name, size), output: outputLimit, limit: cellLimit, zone: number % len(c.fleet.Entries),
+	})
+}
+
+// promptOf returns a prompt that begins with name, so that its answer is its
+// own.
+func promptOf(name string, size int) []byte {
+	prompt := bytes.Repeat([]byte("x"), size)
 	copy(prompt, name)
-	for i := len(name); i < len(prompt); i++ {
-		prompt[i] = 'x'
-	}
-	run := &draftRun{prompt: prompt, sent: time.Now()}
+	return prompt
+}
+
+// send sends a draft. When the stream breaks, the caller resumes through the
+// other entries.
+func (c *cell) send(name string, draft draftRun) *draftRun {
+	run := &draft
+	run.sent = time.Now()
 	c.drafts = append(c.drafts, run)
 	c.start(name, func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, cellLimit+time.Second)
+		ctx, cancel := context.WithTimeout(ctx, run.limit+time.Second)
 		defer cancel()
 		see := func(draft Draft) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			run.seen = draft
 		}
-		request := rtapi.DraftRequest{Service: "drafts", Prompt: string(prompt), Output: outputLimit, Limit: cellLimit.String()}
-		draft, err := c.caller(0).Draft(ctx, request, see)
-		for zone := 1; !draft.Ended && draft.ID != "" && ctx.Err() == nil; zone++ {
+		request := rtapi.DraftRequest{Service: "drafts", Prompt: string(run.prompt), Output: int64(run.output), Limit: run.limit.String()}
+		draft, err := c.caller(run.zone).Draft(ctx, request, see)
+		for zone := run.zone + 1; !draft.Ended && draft.ID != "" && ctx.Err() == nil; zone++ {
 			run.resumed = true
 			c.wait(100 * time.Millisecond)
 			draft, err = c.caller(zone%len(c.fleet.Entries)).Resume(ctx, draft, see)
--- a/internal/rtfleet/fleet.go
+++ b/internal/rtfleet/fleet.go
@@ -48,6 +48,7 @@
 	Hosts    map[rtid.Target]string // IP address of each target
 
 	options  Options
+	targets  map[rtid.Target]rtid.Address
 	ctx      context.Context // of the stand-ins
 	platform rtid.Address
 	fakes    []*rttask.Task
@@ -63,6 +64,7 @@
 		Engines:  make(map[rtid.Target]*rtfake.Engine),
 		Services: make(map[rtid.Target]*rtfake.Service),
 		Hosts:    make(map[rtid.Target]string),
+		targets:  make(map[rtid.Target]rtid.Address),
 		options:  options,
 		ctx:      ctx,
 	}
@@ -261,6 +263,7 @@
 	settings.Common = f.common(process)
 	settings.Target = target
 	settings.Address = address
+	f.targets[target] = address
 	process.metrics = "rhubarbtally_agent"
 	process.create = func(network *lifeline, metrics *rtmetric.Metrics) (runner, error) {
 		return rtagent.New(settings, rtagent.Dependencies{Network: network, Log: f.options.Log, Metrics: metrics}), nil
--- a/internal/rtfleet/invariant_test.go
+++ b/internal/rtfleet/invariant_test.go
@@ -34,10 +34,10 @@
 func (c *cell) checkDraft(run *draftRun) {
 	c.t.Helper()
 	seen := run.seen
-	if seen.Ended && !run.resumed && run.ended.Sub(run.sent) > cellLimit+lateness {
-		c.t.Errorf("draft %s ended after %v, limit %v", seen.ID, run.ended.Sub(run.sent), cellLimit)
+	if seen.Ended && !run.resumed && run.ended.Sub(run.sent) > run.limit+lateness {
+		c.t.Errorf("draft %s ended after %v, limit %v", seen.ID, run.ended.Sub(run.sent), run.limit)
 	}
-	want := []byte(rtfake.Answer(run.prompt, outputLimit))
+	want := []byte(rtfake.Answer(run.prompt, rtid.Tokens(run.output)))
 	if !bytes.HasPrefix(want, seen.Text) {
 		c.t.Errorf("draft %s: text is not a part of the answer to its prompt", seen.ID)
 	}
--- /dev/null
+++ b/internal/rtfleet/scenario_test.go
@@ -0,0 +1,298 @@
+package rtfleet
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
+)
+
+const (
+	platformHost = "10.0.0.1"
+	longOutput   = 1000 // tokens: 20 s at the pace of the stand-in
+	burstSize    = 50   // drafts at once
+	// reconcileBound is the bound of the design page on memory that no agent
+	// owns, with the start of an agent before it.
+	reconcileBound = 4*time.Second + 500*time.Millisecond
+)
+
+// scenarios lists courses of events that need more than one fault at one step.
+var scenarios = []struct {
+	name   string
+	change func(*Options)
+	run    func(*cell)
+}{
+	{"fifty drafts at one fresh engine", nil, func(c *cell) {
+		c.publishZones(rtdocument.StateOut, 1, 2)
+		c.wait(2 * time.Second)
+		c.burst(burstSize)
+	}},
+	{"fifty drafts at one engine that turned cold", nil, func(c *cell) {
+		c.publishZones(rtdocument.StateOut, 1, 2)
+		c.warm()
+		c.fleet.Engines["a-engine-1"].TurnCold()
+		c.burst(burstSize)
+	}},
+	{"zone returns with cold engines", nil, func(c *cell) {
+		c.warm()
+		c.publish(rtdocument.StateOut)
+		c.wait(10 * time.Second)
+		c.fleet.Engines["a-engine-1"].Crash()
+		c.publish(rtdocument.StateIn)
+		c.wait(2 * time.Second)
+		c.publishZones(rtdocument.StateOut, 1, 2)
+		c.burst(burstSize)
+	}},
+	{"zone out for long under load", nil, func(c *cell) {
+		c.publish(rtdocument.StateOut)
+		c.trickle(20, 500*time.Millisecond)
+	}},
+	{"zone out, entries of other zones cut off from the news", nil, func(c *cell) {
+		c.cutNews(1)
+		c.publish(rtdocument.StateOut)
+		c.trickle(20, 500*time.Millisecond)
+		c.healNews(1)
+	}},
+	{"agents leave for long under load", nil, func(c *cell) {
+		long := c.long("long", 60, cellLimit)
+		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
+		agent := c.fleet.Agent(c.home(long))
+		c.stop(agent)
+		c.trickle(20, 500*time.Millisecond)
+		c.replace(agent)
+		c.wantDone(long)
+	}},
+	{"answer longer than its time limit", nil, func(c *cell) {
+		long := c.long("long", longOutput, 3*time.Second)
+		c.finish()
+		c.wait(lateness)
+		if streams := c.fleet.Engines[c.home(long)].Stats().Streams; streams != 0 {
+			c.t.Errorf("engine runs %d streams after the time limit", streams)
+		}
+		if long.seen.Reason != rtapi.ReasonDeadline {
+			c.t.Errorf("ended as %s, reason %q, want reason deadline", long.seen.Outcome, long.seen.Reason)
+		}
+	}},
+	{"agent silent until the time limit", nil, func(c *cell) {
+		long := c.long("long", longOutput, 3*time.Second)
+		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
+		agent := c.fleet.Agent(c.home(long))
+		c.fabric.CutBoth(agent.Host, c.fleet.Entries[0].Host)
+		c.finish()
+		c.fabric.Heal(agent.Host, c.fleet.Entries[0].Host)
+	}},
+	{"agent restarts beside a busy engine", nil, func(c *cell) {
+		long := c.long("long", longOutput, cellLimit)
+		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
+		target := c.home(long)
+		c.hold(target)
+		c.fleet.Agent(target).Kill()
+		c.restart(c.fleet.Agent(target))
+		c.wait(reconcileBound)
+		if used := c.fleet.Engines[target].Stats().Used; used != 0 {
+			c.t.Errorf("%s still uses %d tokens %v after the restart of its agent", target, used, reconcileBound)
+		}
+	}},
+	{"stranger's hold at an engine", nil, func(c *cell) {
+		c.hold("a-engine-1")
+		c.wait(reconcileBound)
+		if used := c.fleet.Engines["a-engine-1"].Stats().Used; used != 0 {
+			c.t.Errorf("hold of %d tokens remains after %v", used, reconcileBound)
+		}
+	}},
+	{"resume at another entry", nil, func(c *cell) {
+		long := c.long("long", 60, cellLimit)
+		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
+		c.fleet.Entries[0].Kill()
+		c.finish()
+		c.restart(c.fleet.Entries[0])
+		c.wantDone(long)
+	}},
+	{"two planned stops of entry and agent", nil, func(c *cell) {
+		long := c.long("long", 60, cellLimit)
+		order := c.issue()
+		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
+		c.put(order, 1)
+		c.wait(100 * time.Millisecond)
+		stopped := []*Process{
+			c.fleet.Entries[0], c.fleet.Agent(c.home(long)), c.fleet.Agent(targetOf(order.id)),
+		}
+		for range 2 {
+			for _, process := range stopped {
+				c.stop(process)
+			}
+			c.wait(time.Second)
+		}
+		c.finish()
+		for _, process := range stopped {
+			c.replace(process)
+		}
+		c.wantDone(long)
+		if order.replies[0].Outcome != rtapi.Done {
+			c.t.Errorf("order ended as %s, reason %q", order.replies[0].Outcome, order.replies[0].Reason)
+		}
+	}},
+	{"platform goes back to an older version", nil, func(c *cell) {
+		before := c.document
+		c.publish(rtdocument.StateIn)
+		c.wait(2 * time.Second)
+		body, err := rtdocument.Encode(&before)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.fleet.Platform.PublishVersion(c.version-1, body)
+		c.wait(5 * time.Second)
+		c.replace(c.fleet.Entries[0])
+		c.replace(c.fleet.Agents[0])
+	}},
+	{"refused document between two good ones", nil, func(c *cell) {
+		c.publish(rtdocument.StateOut)
+		c.wait(time.Second)
+		c.fleet.Platform.Publish([]byte(`{"revision": "none"}`))
+		c.wait(10 * time.Second)
+		c.checkConfiguration()
+		c.publish(rtdocument.StateIn)
+	}},
+	{"document of 1 MiB", nil, func(c *cell) {
+		c.publishPadded(1 << 20)
+		c.version++
+		c.wait(5 * time.Second)
+		c.checkConfiguration()
+		c.publishPadded(1<<20 + 1)
+		c.wait(5 * time.Second)
+	}},
+	{"start while the platform is down and one peer is behind", nil, func(c *cell) {
+		behind, started := c.fleet.Agents[1], c.fleet.Entries[2]
+		c.fabric.Freeze(behind.Host)
+		c.publish(rtdocument.StateOut)
+		c.wait(2 * time.Second)
+		c.fleet.Platform.SetDown(true)
+		started.Kill()
+		c.cutFrom(started, behind)
+		c.fabric.Thaw(behind.Host)
+		c.restart(started)
+		c.wait(faultLength)
+		c.healAll(started)
+		c.publish(rtdocument.StateIn)
+		c.fleet.Platform.SetDown(false)
+	}},
+}
+
+// TestScenarios guards every invariant over courses of several events.
+func TestScenarios(t *testing.T) {
+	for _, scenario := range scenarios {
+		t.Run(strings.ReplaceAll(scenario.name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			runCell(t, scenario.change, scenario.run)
+		})
+	}
+}
+
+// burst sends drafts through all entries at once and waits for their ends.
+func (c *cell) burst(count int) {
+	for range count {
+		c.sized("burst", 4<<10)
+	}
+	c.finish()
+}
+
+// trickle sends drafts one after the other through all entries.
+func (c *cell) trickle(count int, interval time.Duration) {
+	for range count {
+		c.sized("trickle", 4<<10)
+		c.wait(interval)
+	}
+	c.finish()
+}
+
+// warm lets the engines of the fleet become warm.
+func (c *cell) warm() {
+	c.trickle(60, 100*time.Millisecond)
+}
+
+// wantDone checks that a draft was served in spite of everything.
+func (c *cell) wantDone(run *draftRun) {
+	c.t.Helper()
+	c.finish()
+	if run.seen.Outcome != rtapi.Done {
+		c.t.Errorf("draft %s ended as %s, reason %q, error %v, want done", run.seen.ID, run.seen.Outcome, run.seen.Reason, run.err)
+	}
+}
+
+// home returns the target that an accepted draft runs at.
+func (c *cell) home(run *draftRun) rtid.Target {
+	c.t.Helper()
+	seen := c.seen(run)
+	if seen.ID == "" {
+		c.t.Fatalf("draft was not accepted: %s, reason %q, error %v", seen.Outcome, seen.Reason, run.err)
+	}
+	return targetOf(rtid.Request(seen.ID))
+}
+
+// hold reserves memory at an engine without its agent.
+func (c *cell) hold(target rtid.Target) {
+	c.t.Helper()
+	address := c.fleet.targets[target]
+	response, err := c.client.Post("http://"+string(address)+"/holds", "application/json", strings.NewReader(`{"id":"stranger","tokens":1000}`))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := response.Body.Close(); err != nil || response.StatusCode >= http.StatusBadRequest {
+		c.t.Fatalf("hold: status %d, error %v", response.StatusCode, err)
+	}
+}
+
+// publishPadded publishes the last document padded to a size.
+func (c *cell) publishPadded(size int) {
+	document := c.document
+	document.Base, document.Revision = document.Revision, document.Revision+1
+	body, err := rtdocument.Encode(&document)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.document = document
+	c.fleet.Platform.Publish(append(body, bytes.Repeat([]byte(" "), size-len(body))...))
+}
+
+// cutNews cuts the entries from a zone on from the platform and from the other
+// entries, so that only agents can tell them the news.
+func (c *cell) cutNews(from int) {
+	for _, entry := range c.fleet.Entries[from:] {
+		c.fabric.CutBoth(entry.Host, platformHost)
+		for _, other := range c.fleet.Entries {
+			if other != entry {
+				c.fabric.CutBoth(entry.Host, other.Host)
+			}
+		}
+	}
+}
+
+func (c *cell) healNews(from int) {
+	for _, entry := range c.fleet.Entries[from:] {
+		c.healAll(entry)
+	}
+}
+
+// cutFrom cuts a process from all others but one.
+func (c *cell) cutFrom(process, but *Process) {
+	for _, other := range c.processes() {
+		if other != process && other != but {
+			c.fabric.CutBoth(process.Host, other.Host)
+		}
+	}
+}
+
+// healAll ends all cuts of a process.
+func (c *cell) healAll(process *Process) {
+	c.fabric.Heal(process.Host, platformHost)
+	for _, other := range c.processes() {
+		if other != process {
+			c.fabric.Heal(process.Host, other.Host)
+		}
+	}
+}
