Add ten faults to the matrix, and require an end of every request

Cause of the stricter check: without the entry's deadline no cell failed, because a draft whose caller gave up without an end event was not looked at. Only callers of an entry that was killed or frozen may see no end now, and only one frozen past the time limit may answer late. The time of an order is measured per call instead of from the first call to the last answer. New faults: pauses past the time limit, entry or agent cut from the platform, entry cut from all agents, late and doubled delivery, two restarts in a row.

--- a/internal/rtfleet/cell_test.go
+++ b/internal/rtfleet/cell_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,7 +26,8 @@
 const (
 	cellLimit   = 8 * time.Second // time limit of the requests
 	faultLength = 4 * time.Second
-	settleTime  = 10 * time.Second // until leases, expiries and reconciliation are over
+	pastLimit   = cellLimit + 2*time.Second // wakes up after the time limit of all requests
+	settleTime  = 10 * time.Second          // until leases, expiries and reconciliation are over
 	linkDelay   = 2 * time.Millisecond
 	// viewTime is a heartbeat interval with its jitter: until then an entry
 	// may know only the agents that were ready at its first heartbeat, and
@@ -52,7 +54,9 @@
 	orders []*orderRun
 	tasks  []*rttask.Task
 
-	monitor *monitor
+	monitor   *monitor
+	entryLost atomic.Bool // an entry was killed or frozen, so that its callers may see no end
+	entryLate bool        // an entry was frozen past the time limit
 }
 
 // draftRun is one draft and what its caller saw.
@@ -72,8 +76,7 @@
 type orderRun struct {
 	id      rtid.Request
 	replies []rtapi.Status
-	sent    time.Time
-	ended   time.Time
+	longest time.Duration // of the puts that one entry answered
 }
 
 // newTestFleet starts a fleet on an in-memory network with one entry, one
@@ -291,23 +294,24 @@
 // put sends the order through the entry of an availability zone, and again
 // through the next ones until one answers.
 func (c *cell) put(run *orderRun, zone int) {
-	if run.sent.IsZero() {
-		run.sent = time.Now()
-	}
 	c.start("order", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, cellLimit+time.Second)
 		defer cancel()
 		for ; ctx.Err() == nil; zone++ {
+			sent := time.Now()
 			status, err := c.order(ctx, run, zone, http.MethodPut)
 			if err == nil {
 				c.mu.Lock()
 				defer c.mu.Unlock()
 				run.replies = append(run.replies, status)
-				run.ended = time.Now()
+				run.longest = max(run.longest, time.Since(sent))
 				return nil
 			}
 			c.wait(100 * time.Millisecond)
 		}
+		if !c.entryLost.Load() {
+			c.t.Errorf("order %s got no answer within its time limit", run.id)
+		}
 		return nil
 	})
 }
--- a/internal/rtfleet/fault_test.go
+++ b/internal/rtfleet/fault_test.go
@@ -1,6 +1,9 @@
 package rtfleet
 
 import (
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
@@ -86,7 +89,18 @@
 	}
 }
 
-func killEntry(_ *cell, v victims)    { v.entry.Kill() }
+func killEntry(c *cell, v victims) { c.killEntry(v.entry) }
+func (c *cell) killEntry(entry *Process) {
+	c.entryLost.Store(true)
+	entry.Kill()
+}
+
+func freezeEntry(c *cell, v victims) {
+	c.entryLost.Store(true)
+	c.fabric.Freeze(v.entry.Host)
+}
+
+func thawEntry(c *cell, v victims)    { c.fabric.Thaw(v.entry.Host) }
 func restartEntry(c *cell, v victims) { c.restart(v.entry) }
 
 func killAgents(_ *cell, v victims)    { v.each((*Process).Kill) }
@@ -137,3 +151,39 @@
 		engine.TurnCold()
 	}
 }
+
+func zoneOut(c *cell, _ victims) { c.publish(rtdocument.StateOut) }
+func zoneIn(c *cell, _ victims)  { c.publish(rtdocument.StateIn) }
+
+// cutEntryFromAgents leaves an entry with the platform and the other entries.
+func cutEntryFromAgents(c *cell, v victims) {
+	for _, agent := range c.fleet.Agents {
+		c.fabric.CutBoth(v.entry.Host, agent.Host)
+	}
+}
+
+func cutAgentsFromPlatform(c *cell, v victims) {
+	v.each(func(a *Process) { c.fabric.CutBoth(a.Host, platformHost) })
+}
+
+func healAgents(c *cell, v victims) { v.each(c.healAll) }
+
+// worsenLinks delays segments between all processes beyond one another and
+// sends one in ten of them twice.
+func worsenLinks(c *cell, _ victims) {
+	c.setLinks(rtfake.Latency{Base: linkDelay, Jitter: 100 * time.Millisecond, Loss: 0.1})
+}
+
+func restoreLinks(c *cell, _ victims) {
+	c.setLinks(rtfake.Latency{Base: linkDelay, Jitter: linkDelay / 2})
+}
+
+func (c *cell) setLinks(latency rtfake.Latency) {
+	for _, from := range c.processes() {
+		for _, to := range c.processes() {
+			if from != to {
+				c.fabric.SetLatency(from.Host, to.Host, latency)
+			}
+		}
+	}
+}
--- a/internal/rtfleet/invariant_test.go
+++ b/internal/rtfleet/invariant_test.go
@@ -34,9 +34,12 @@
 func (c *cell) checkDraft(run *draftRun) {
 	c.t.Helper()
 	seen := run.seen
-	if seen.Ended && !run.resumed && run.ended.Sub(run.sent) > run.limit+lateness {
+	if seen.Ended && !run.resumed && !c.entryLate && run.ended.Sub(run.sent) > run.limit+lateness {
 		c.t.Errorf("draft %s ended after %v, limit %v", seen.ID, run.ended.Sub(run.sent), run.limit)
 	}
+	if !seen.Ended && !c.entryLost.Load() {
+		c.t.Errorf("draft %s had no end within its time limit: %v", seen.ID, run.err)
+	}
 	want := []byte(rtfake.Answer(run.prompt, rtid.Tokens(run.output)))
 	if !bytes.HasPrefix(want, seen.Text) {
 		c.t.Errorf("draft %s: text is not a part of the answer to its prompt", seen.ID)
@@ -64,8 +67,8 @@
 	if executions > 1 {
 		c.t.Errorf("order %s ran %d times", run.id, executions)
 	}
-	if !run.ended.IsZero() && run.ended.Sub(run.sent) > cellLimit+time.Second+lateness {
-		c.t.Errorf("order %s ended after %v, limit %v", run.id, run.ended.Sub(run.sent), cellLimit)
+	if run.longest > cellLimit+lateness && !c.entryLate {
+		c.t.Errorf("order %s was answered after %v, limit %v", run.id, run.longest, cellLimit)
 	}
 	replies := run.replies
 	for zone := range c.fleet.Entries {
--- a/internal/rtfleet/matrix_test.go
+++ b/internal/rtfleet/matrix_test.go
@@ -103,7 +103,8 @@
 	name   string
 	strike func(*cell, victims)
 	heal   func(*cell, victims)
-	mild   bool // every request must still be done
+	length time.Duration // until heal; 0 for faultLength
+	mild   bool          // every request must still be done
 	// refusal is how a mild fault may refuse an order that was not accepted
 	// before it; the order's home cannot change.
 	refusal rtapi.Reason
@@ -112,8 +113,7 @@
 	{name: "kill-entry", strike: killEntry, heal: restartEntry},
 	{name: "kill-agent", strike: killAgents, heal: restartAgents},
 	{name: "kill-target", strike: crashTargets},
-	{name: "freeze-entry", strike: func(c *cell, v victims) { c.fabric.Freeze(v.entry.Host) },
-		heal: func(c *cell, v victims) { c.fabric.Thaw(v.entry.Host) }},
+	{name: "freeze-entry", strike: freezeEntry, heal: thawEntry},
 	{name: "freeze-agent", strike: freezeAgents, heal: thawAgents},
 	{name: "freeze-target", strike: freezeTargets, heal: thawTargets},
 	{name: "cut-entry-to-agent", strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(v.entry.Host, a.Host) }) }, heal: healLinks},
@@ -156,6 +156,24 @@
 		heal: pair(thawAgents, func(c *cell, _ victims) { c.publish(rtdocument.StateIn) })},
 	{name: "platform-down+kill-agent", strike: pair(killAgents, func(c *cell, _ victims) { c.fleet.Platform.SetDown(true) }),
 		heal: pair(restartAgents, func(c *cell, _ victims) { c.fleet.Platform.SetDown(false) })},
+	{name: "freeze-entry-past-limit", strike: pair(freezeEntry, func(c *cell, _ victims) { c.entryLate = true }), heal: thawEntry, length: pastLimit},
+	{name: "freeze-agent-past-limit", strike: freezeAgents, heal: thawAgents, length: pastLimit},
+	{name: "freeze-target-past-limit", strike: freezeTargets, heal: thawTargets, length: pastLimit},
+	{name: "entry-off-platform", strike: func(c *cell, v victims) { c.fabric.CutBoth(v.entry.Host, platformHost) },
+		heal: func(c *cell, v victims) { c.healAll(v.entry) }, mild: true},
+	{name: "entry-off-agents", strike: cutEntryFromAgents, heal: func(c *cell, v victims) { c.healAll(v.entry) }},
+	{name: "agent-off-platform+zone-out", strike: pair(cutAgentsFromPlatform, zoneOut),
+		heal: pair(healAgents, zoneIn), mild: true, refusal: rtapi.ReasonZone},
+	{name: "late-and-doubled-delivery", strike: worsenLinks, heal: restoreLinks},
+	{name: "late-and-doubled-delivery+kill-agent", strike: pair(worsenLinks, killAgents), heal: pair(restoreLinks, restartAgents)},
+	{name: "kill-agent-twice", strike: func(c *cell, v victims) {
+		killAgents(c, v)
+		restartAgents(c, v)
+		c.wait(time.Second)
+		killAgents(c, v)
+	}, heal: restartAgents},
+	{name: "zone-out+stop-entry", strike: pair(zoneOut, func(c *cell, v victims) { c.stop(v.entry) }),
+		heal: pair(func(c *cell, v victims) { c.replace(v.entry) }, zoneIn), mild: true, refusal: rtapi.ReasonZone},
 	{name: "cut-both+kill-target", strike: pair(cutBoth, crashTargets), heal: healLinks},
 }
 
@@ -176,7 +194,7 @@
 						draft = c.draft("victim")
 					}
 					c.put(order, 1) // a second time through another entry
-					c.wait(faultLength)
+					c.wait(max(fault.length, faultLength))
 					if fault.heal != nil {
 						fault.heal(c, v)
 					}
--- a/internal/rtfleet/scenario_test.go
+++ b/internal/rtfleet/scenario_test.go
@@ -108,7 +108,7 @@
 	{"resume at another entry", nil, func(c *cell) {
 		long := c.long("long", 60, cellLimit)
 		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
-		c.fleet.Entries[0].Kill()
+		c.killEntry(c.fleet.Entries[0])
 		c.finish()
 		c.restart(c.fleet.Entries[0])
 		c.wantDone(long)
