Generate load in virtual time and measure saturation

Adds a seeded open-loop generator, a recorder and baselines that run through the same code: Chooser in rtentry and Queue in rtagent are the points where other decisions come in. Without them both packages decide as before.

--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -55,7 +55,9 @@
 	Network rtnet.Network
 	Log     logr.Logger
 	Metrics *rtmetric.Metrics
-	Node    func(rtnode.Options) Node // nil for rtnode.New
+	Node    func(rtnode.Options) Node  // nil for rtnode.New
+	Queue   func(rtqueue.Limits) Queue // nil for rtqueue.New
+	Flat    bool                       // whether all requests have one priority at the engine
 }
 
 // Agent is the state of one agent process.
@@ -77,7 +79,8 @@
 	mu        sync.Mutex
 	ledger    *rtledger.Ledger
 	memory    *rtmemory.Account
-	queue     *rtqueue.Queue
+	queue     Queue
+	flat      bool // all requests have one priority at the engine
 	warm      *rtwarm.Limit
 	pace      pace
 	pause     pause
@@ -109,7 +112,8 @@
 		failed:    make(chan error, listeners),
 		ledger:    rtledger.New(rtledger.DefaultLimits, now),
 		memory:    rtmemory.New(settings.Memory),
-		queue:     rtqueue.New(queueLimits(settings)),
+		queue:     newQueue(dependencies, queueLimits(settings)),
+		flat:      dependencies.Flat,
 		warm:      rtwarm.New(settings.Cold, settings.Slots),
 		pace:      newPace(settings.Rate),
 		pause:     pause{latest: now},
--- a/internal/rtagent/draft.go
+++ b/internal/rtagent/draft.go
@@ -50,7 +50,7 @@
 		Prompt:   r.body,
 		Prefix:   r.prefix,
 		Output:   r.output,
-		Priority: int(r.item.Class),
+		Priority: a.priority(r),
 		Remote:   r.remote,
 		Fence:    a.node.Incarnation(),
 	})
--- /dev/null
+++ b/internal/rtagent/queue.go
@@ -0,0 +1,38 @@
+package rtagent
+
+import (
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtqueue"
+)
+
+// Queue orders the requests at the target. Measurements replace it to compare
+// other orders through the same code.
+type Queue interface {
+	Push(rtqueue.Item) bool
+	Remove(rtid.Request) bool
+	Pop(now time.Time, slots int, free rtid.Tokens) (next rtqueue.Item, ok bool, refused []rtqueue.Item)
+	Prefilled(rtid.Request)
+	Done(id rtid.Request, now time.Time)
+	Ahead(class rtid.Class, now time.Time) rtid.Tokens
+	Waiting() int
+	WaitingTokens() rtid.Tokens
+	Running() int
+	Prefill() rtid.Tokens
+}
+
+func newQueue(dependencies Dependencies, limits rtqueue.Limits) Queue {
+	if dependencies.Queue != nil {
+		return dependencies.Queue(limits)
+	}
+	return rtqueue.New(limits)
+}
+
+// priority returns the priority of a request at the engine.
+func (a *Agent) priority(r *request) int {
+	if a.flat {
+		return 0
+	}
+	return int(r.item.Class)
+}
--- a/internal/rtentry/choose.go
+++ b/internal/rtentry/choose.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	pool    *rtroute.Pool
+	reports []rtroute.Report // that pool was built from
 	views   map[rtid.Target]rtnode.View
 	built   time.Time    // of pool; zero if it must be built again
 	version rtid.Version // of the document that pool was built from
@@ -36,7 +37,8 @@
 type placement struct {
 	view     rtnode.View
 	balancer *balancer
-	number   uint64 // of the flight
+	number   uint64      // of the flight
+	tokens   rtid.Tokens // of the work
 }
 
 // balancer returns the balancer of a service, which is in the document.
@@ -66,15 +68,11 @@
 		Remain:  d.deadline.Sub(now),
 		Exclude: tried,
 	}
-	zone, ok := b.pool.ChooseZone(b.entry.settings.Zone, &b.spill, request, b.random)
+	target, ok := b.chooseTarget(&request)
 	if !ok {
 		return placement{}, false
 	}
-	target, ok := b.pool.ChooseTarget(zone, request, b.random)
-	if !ok {
-		return placement{}, false
-	}
-	if zone == b.entry.settings.Zone {
+	if b.views[target].Zone == b.entry.settings.Zone {
 		b.local.Add(now)
 	}
 	return b.place(target, d.tokens), true
@@ -100,7 +98,7 @@
 // place records work that is about to be sent to a target.
 func (b *balancer) place(target rtid.Target, tokens rtid.Tokens) placement {
 	b.pool.AddPending(target, rtroute.Pending{Tokens: tokens, Requests: 1})
-	return placement{view: b.views[target], balancer: b, number: b.flights.Send(target, tokens)}
+	return placement{view: b.views[target], balancer: b, number: b.flights.Send(target, tokens), tokens: tokens}
 }
 
 // refresh builds the pool again when it is too old or another document is in
@@ -123,6 +121,7 @@
 		reports = append(reports, report)
 		b.views[view.Target] = view
 	}
+	b.reports = reports
 	b.pool = rtroute.NewPool(reports, string(b.entry.settings.VM))
 	b.setRate(now, document)
 }
@@ -161,6 +160,7 @@
 
 // ended removes the record of the work.
 func (p placement) ended() {
+	p.release()
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
 	p.balancer.flights.Drop(p.view.Target, p.number)
@@ -169,6 +169,7 @@
 // refused removes the record of the work and lets the next decision use the
 // status that came with the refusal.
 func (p placement) refused() {
+	p.release()
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
 	p.balancer.flights.Drop(p.view.Target, p.number)
--- a/internal/rtentry/entry.go
+++ b/internal/rtentry/entry.go
@@ -50,6 +50,7 @@
 	Dump    *rtdump.Registry // optional
 	Node    Node             // optional; made from the settings if nil
 	Seed    uint64           // of random choices; 0 for a random one
+	Chooser Chooser          // of targets for drafts; nil for the pool's own choice
 }
 
 // Entry is one entry process.
@@ -61,6 +62,7 @@
 	dump     *rtdump.Registry
 	node     Node
 	agents   agents
+	chooser  Chooser // nil for the pool's own choice
 	limits   limits
 	ready    atomic.Bool // new requests are welcome
 	drafts   atomic.Int64
@@ -82,6 +84,7 @@
 		dump:     dependencies.Dump,
 		node:     dependencies.Node,
 		agents:   newAgents(dependencies.Network),
+		chooser:  dependencies.Chooser,
 
 		balancers: make(map[rtid.Service]*balancer),
 		random:    newRandom(dependencies.Seed),
--- a/internal/rtfleet/fleet.go
+++ b/internal/rtfleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtqueue"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
@@ -36,6 +37,12 @@
 	Drain    time.Duration
 	Longest  time.Duration
 	Log      logr.Logger
+
+	// The rest serves measurements.
+	Seed    uint64                             // of the entries' random choices; 0 for random ones
+	Chooser rtentry.Chooser                    // nil for the entries' own choice
+	Queue   func(rtqueue.Limits) rtagent.Queue // nil for the agents' own queue
+	Flat    bool                               // whether engines get no priorities
 }
 
 // Fleet is a running fleet.
@@ -179,9 +186,14 @@
 	return fmt.Sprintf("10.0.%d.%d", 1+f.vms/200, 1+f.vms%200)
 }
 
+// EngineName returns the name of an engine of an availability zone, from 0.
+func EngineName(zone rtid.Zone, number int) rtid.Target {
+	return rtid.Target(fmt.Sprintf("%s-engine-%d", zone, number+1))
+}
+
 // addEngine creates an engine and its agent.
 func (f *Fleet) addEngine(zone rtid.Zone, number int) error {
-	target := rtid.Target(fmt.Sprintf("%s-engine-%d", zone, number+1))
+	target := EngineName(zone, number)
 	engine := rtfake.NewEngine(f.options.Engine)
 	f.Engines[target] = engine
 	f.fakes = append(f.fakes, rttask.Start(f.ctx, string(target), engine.Run))
@@ -263,7 +275,9 @@
 	settings.Address = address
 	process.metrics = "rhubarbtally_agent"
 	process.create = func(network *lifeline, metrics *rtmetric.Metrics) (runner, error) {
-		return rtagent.New(settings, rtagent.Dependencies{Network: network, Log: f.options.Log, Metrics: metrics}), nil
+		return rtagent.New(settings, rtagent.Dependencies{
+			Network: network, Log: f.options.Log, Metrics: metrics, Queue: f.options.Queue, Flat: f.options.Flat,
+		}), nil
 	}
 	f.Agents = append(f.Agents, process)
 	f.members = append(f.members, process.Member(settings.Service))
@@ -282,8 +296,14 @@
 		Longest: rtsettings.Duration(f.options.Longest),
 	}
 	process.metrics = "rhubarbtally_entry"
+	seed := f.options.Seed
+	if seed != 0 {
+		seed += uint64(len(f.Entries)) // entries must not choose in step
+	}
 	process.create = func(network *lifeline, metrics *rtmetric.Metrics) (runner, error) {
-		return rtentry.New(settings, rtentry.Dependencies{Network: network, Log: f.options.Log, Metrics: metrics})
+		return rtentry.New(settings, rtentry.Dependencies{
+			Network: network, Log: f.options.Log, Metrics: metrics, Seed: seed, Chooser: f.options.Chooser,
+		})
 	}
 	f.Entries = append(f.Entries, process)
 	f.members = append(f.members, process.Member(""))
--- /dev/null
+++ b/internal/rtload/schedule.go
@@ -0,0 +1,106 @@
+package rtload
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+// Kind tells what a caller sends.
+type Kind int
+
+// The kinds of arrivals.
+const (
+	KindDraft Kind = iota
+	KindStatus
+	KindOrder
+)
+
+// Arrival is one request of a schedule.
+type Arrival struct {
+	At           time.Duration // from the start of the load
+	Kind         Kind
+	Number       int         // unique in the schedule
+	Band         int         // of a draft, index of Bands
+	Tokens       rtid.Tokens // of the prompt of a draft
+	Output       rtid.Tokens // of a draft
+	Limit        time.Duration
+	Organisation rtid.Organisation
+	Entry        int // any number; callers take it modulo the number of entries
+}
+
+// Phase is a part of a schedule with a constant rate.
+type Phase struct {
+	Length time.Duration
+	Rate   float64 // drafts per second
+}
+
+// Schedule returns Poisson arrivals of a mix. The same seed gives the same
+// schedule.
+func Schedule(seed uint64, mix *Mix, phases ...Phase) []Arrival {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var arrivals []Arrival
+	var start time.Duration
+	for _, phase := range phases {
+		total := phase.Rate * (1 + mix.Status + mix.Orders)
+		for at := start; total > 0; {
+			at += time.Duration(random.ExpFloat64() / total * float64(time.Second))
+			if at >= start+phase.Length {
+				break
+			}
+			arrival := mix.draw(random)
+			arrival.At, arrival.Number = at, len(arrivals)
+			arrivals = append(arrivals, arrival)
+		}
+		start += phase.Length
+	}
+	return arrivals
+}
+
+// draw returns a random arrival without its time. It uses the same number of
+// random values for each kind.
+func (m *Mix) draw(random *rand.Rand) Arrival {
+	arrival := Arrival{
+		Kind:         m.kind(random),
+		Band:         m.band(random),
+		Organisation: m.organisation(random),
+		Entry:        random.Int(),
+	}
+	longest := Bands[arrival.Band].Tokens
+	arrival.Tokens = longest - rtid.Tokens(random.Int64N(int64(longest/2)))
+	arrival.Output = m.MinOutput + rtid.Tokens(random.Int64N(int64(m.MaxOutput-m.MinOutput)+1))
+	arrival.Limit = Bands[arrival.Band].Limit
+	if arrival.Kind == KindOrder {
+		arrival.Limit = m.OrderLimit
+	}
+	return arrival
+}
+
+func (m *Mix) kind(random *rand.Rand) Kind {
+	switch x := random.Float64() * (1 + m.Status + m.Orders); {
+	case x < m.Status:
+		return KindStatus
+	case x < m.Status+m.Orders:
+		return KindOrder
+	default:
+		return KindDraft
+	}
+}
+
+// Only returns the arrivals that keep says, with their times and numbers.
+func Only(arrivals []Arrival, keep func(*Arrival) bool) []Arrival {
+	var kept []Arrival
+	for i := range arrivals {
+		if keep(&arrivals[i]) {
+			kept = append(kept, arrivals[i])
+		}
+	}
+	return kept
+}
+
+// IsShort reports whether an arrival is a draft with a prompt of the short
+// class.
+func IsShort(arrival *Arrival) bool {
+	return arrival.Kind == KindDraft && arrival.Band < ShortBands
+}
