--- /dev/null
+++ b/internal/rtload/schedule_test.go
@@ -0,0 +1,83 @@
+package rtload
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfleet"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
+)
+
+// TestSchedule guards against a mix that is not the one of the design page, and
+// against runs that cannot be repeated.
+func TestSchedule(t *testing.T) {
+	const rate = 100.0
+	for _, mix := range []*Mix{&KavangoMix, &NepGapMix} {
+		arrivals := Schedule(7, mix, Phase{1000 * time.Second, rate})
+		if !slices.Equal(arrivals, Schedule(7, mix, Phase{1000 * time.Second, rate})) {
+			t.Error("the same seed gave another schedule")
+		}
+		drafts := Only(arrivals, func(a *Arrival) bool { return a.Kind == KindDraft })
+		if got := float64(len(drafts)) / 1000; math.Abs(got-rate) > 2 {
+			t.Errorf("%v drafts a second, want %v", got, rate)
+		}
+		long := Only(drafts, func(a *Arrival) bool { return a.Tokens > 100_000 })
+		if got := float64(len(long)) / float64(len(drafts)); math.Abs(got-0.02) > 0.002 {
+			t.Errorf("%v of the drafts are over 100k tokens, want one in fifty", got)
+		}
+	}
+}
+
+// TestRunOverTCP guards against a load tool that does not reach entries or
+// loses answers.
+func TestRunOverTCP(t *testing.T) {
+	fleet, err := rtfleet.New(t.Context(), rtfleet.Options{
+		Space:    &rtfleet.Loopback{},
+		Document: NepGap.document(),
+		Entries:  1, Engines: 1, Plain: 1,
+		Engine:  rtfake.EngineConfig{Warm: true},
+		Agent:   rtsettings.Agent{Memory: 400_000, Slots: 8, Cold: 2, Rate: 4e6},
+		Drain:   time.Minute,
+		Longest: time.Minute,
+		Log:     logr.Discard(),
+	})
+	defer func() {
+		if err := fleet.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := Settings{
+		Organisations: []rtid.Organisation{"large-1", "small-1"},
+		Drafts:        draftService, Orders: orderService, Mix: "nepgap",
+		Rate: 10, Length: time.Second, Seed: 1, Bands: 2,
+	}
+	for _, entry := range fleet.Entries {
+		settings.Entries = append(settings.Entries, entry.Callers)
+	}
+	world := World{Fleet: fleet, Driver: &Driver{}, Document: NepGap.document()}
+	for _, entry := range settings.Entries {
+		world.Driver.Callers = append(world.Driver.Callers, callerOf(entry))
+	}
+	if err := world.Ready(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var table strings.Builder
+	if err := Run(t.Context(), settings, &table); err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(table.String(), "\n") {
+		if strings.Contains(line, "broken") || strings.Contains(line, "notrun") || strings.Contains(line, "failed") {
+			t.Errorf("not all was done:\n%s", table.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/rtload/settings.go
@@ -0,0 +1,95 @@
+package rtload
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtfleet"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
+)
+
+// Bounds of a load over TCP, so that a typing error does no harm.
+const (
+	maxRate   = 200.0
+	maxLength = 10 * time.Minute
+)
+
+// Settings describe a load against entries that run already.
+type Settings struct {
+	Entries       []rtid.Address
+	Organisations []rtid.Organisation // the largest first; traffic halves from one to the next
+	Drafts        rtid.Service
+	Orders        rtid.Service // empty: no orders
+	Mix           string       // kavango or nepgap
+	Rate          float64      // drafts per second
+	Length        time.Duration
+	Seed          uint64
+	Bands         int // number of bands used, from the shortest
+}
+
+// Check returns what is wrong with the settings.
+func (s *Settings) Check() error {
+	var errs []error
+	add := func(wrong bool, format string, values ...any) {
+		if wrong {
+			errs = append(errs, fmt.Errorf(format, values...))
+		}
+	}
+	add(len(s.Entries) == 0, "-entries: no address")
+	add(len(s.Organisations) == 0, "-organisations: no name")
+	add(s.Drafts == "", "-drafts: no service")
+	add(s.Mix != "kavango" && s.Mix != "nepgap", "-mix %q: want kavango or nepgap", s.Mix)
+	add(!(s.Rate > 0 && s.Rate <= maxRate), "-rate %v: want over 0 and at most %v", s.Rate, maxRate)
+	add(s.Length <= 0 || s.Length > maxLength, "-length %v: want over 0 and at most %v", s.Length, maxLength)
+	add(s.Bands < 1 || s.Bands > len(Bands), "-bands %d: want from 1 to %d", s.Bands, len(Bands))
+	return errors.Join(errs...)
+}
+
+// Run sends a load over TCP and prints the table.
+func Run(ctx context.Context, s Settings, w io.Writer) error {
+	driver := &Driver{Drafts: s.Drafts, Orders: s.Orders}
+	for _, entry := range s.Entries {
+		driver.Callers = append(driver.Callers, callerOf(entry))
+	}
+	mix := s.mix()
+	err := driver.Run(ctx, Schedule(s.Seed, &mix, Phase{s.Length, s.Rate}))
+	for _, caller := range driver.Callers {
+		caller.Client.CloseIdleConnections()
+	}
+	return errors.Join(err, driver.Recorder.Write(w))
+}
+
+// callerOf returns the caller of an entry.
+func callerOf(entry rtid.Address) rtfleet.Caller {
+	return rtfleet.Caller{Client: rtnet.Client(&rtnet.TCP{}), Entry: entry}
+}
+
+// mix returns the mix with the organisations and bands of the settings.
+func (s *Settings) mix() Mix {
+	mix := KavangoMix
+	if s.Mix == "nepgap" {
+		mix = NepGapMix
+	}
+	if s.Orders == "" {
+		mix.Orders = 0
+	}
+	// What the other bands had goes to the shortest.
+	mix.Bands = slices.Clone(mix.Bands[:s.Bands])
+	rest := 1.0
+	for _, part := range mix.Bands[1:] {
+		rest -= part
+	}
+	mix.Bands[0] = rest
+	mix.Organisations = nil
+	part := 1.0
+	for _, name := range s.Organisations {
+		part /= 2
+		mix.Organisations = append(mix.Organisations, Share{name, part})
+	}
+	return mix
+}
