Send short prompts to free places beside long prefills

Under 120 % of planned load at Nep Gap most engines computed a long prompt. Short prompts then all went to the few engines without one, waited for places there and were refused, while other engines had free places. Queue order and warm-up limits were ruled out: limits rose to 8 everywhere and never fell.

Short prompts now take any target of the zone when their choice has no place. Engines serve short prompts before a long prefill, so that they lose little.

--- a/internal/rtroute/choose.go
+++ b/internal/rtroute/choose.go
@@ -43,9 +43,11 @@
 	if i, ok := p.affine(list, z, &request); ok {
 		return p.targets[i].Target, true
 	}
-	if i, ok := p.twoChoices(list, &request, random); ok {
+	if i, ok := p.twoChoices(list, &request, random); ok && (request.Class == rtid.ClassLong || p.targets[i].hasPlace()) {
 		return p.targets[i].Target, true
 	}
+	// Short prompts overtake a long prefill, so that a free place beside one
+	// is better than a wait for a place elsewhere.
 	if i, ok := p.twoChoices(z.all, &request, random); ok {
 		return p.targets[i].Target, true
 	}
@@ -86,7 +88,7 @@
 	// much load is worth a wait even when the mean is lower.
 	mean := float64(z.work) / float64(len(z.all))
 	bound := max(boundedLoad*mean, float64(request.Tokens))
-	return best, float64(m.Work()) <= bound && m.occupied() < max(1, m.Limit)
+	return best, float64(m.Work()) <= bound && m.hasPlace()
 }
 
 // twoChoices returns the better of two random targets of a list.
--- a/internal/rtroute/target.go
+++ b/internal/rtroute/target.go
@@ -64,6 +64,11 @@
 	return r.Running + r.Pending.Requests
 }
 
+// hasPlace reports whether a request would not wait for a place.
+func (r *Report) hasPlace() bool {
+	return r.occupied() < max(1, r.Limit)
+}
+
 // FirstToken predicts the time from the offer to the first token of a prompt.
 func (r *Report) FirstToken(prompt rtid.Tokens) time.Duration {
 	rate := r.Rate
