Predict the wait of short prompts without the prefill of longer ones

Admission refused short prompts behind the running prefill of a long one (over 6 s for 128k tokens), although the engine puts it after them. Ahead now counts running prefill of the prompt's own and shorter classes.

--- a/internal/rtqueue/queue.go
+++ b/internal/rtqueue/queue.go
@@ -96,10 +96,10 @@
 	virtual   float64 // fair-share clock: weighted tokens served
 	waiting   totals
 	running   totals
-	classes   [len(headStart)]int // running requests by class
-	shorts    int                 // waiting short requests
-	long      rtid.Tokens         // prefill tokens of running long prompts
-	prefill   rtid.Tokens         // prefill tokens of all running prompts
+	classes   [len(headStart)]int         // running requests by class
+	shorts    int                         // waiting short requests
+	long      rtid.Tokens                 // prefill tokens of running long prompts
+	prefill   [len(headStart)]rtid.Tokens // prefill tokens of running prompts by class
 	share     share
 }
 
@@ -136,7 +136,16 @@
 
 // Prefill returns the prompt tokens of running requests before their first
 // token.
-func (q *Queue) Prefill() rtid.Tokens { return q.prefill }
+func (q *Queue) Prefill() rtid.Tokens { return q.prefillUpTo(rtid.ClassLong) }
+
+// prefillUpTo returns the same for the classes up to one.
+func (q *Queue) prefillUpTo(class rtid.Class) rtid.Tokens {
+	var sum rtid.Tokens
+	for _, tokens := range q.prefill[:class+1] {
+		sum += tokens
+	}
+	return sum
+}
 
 // Push adds a waiting request. It reports false if the queue is full or holds
 // the request already.
@@ -208,7 +217,7 @@
 		return
 	}
 	found.prefill = false
-	q.prefill -= found.Tokens
+	q.prefill[found.Class] -= found.Tokens
 	if found.Class == rtid.ClassLong {
 		q.long -= found.Tokens
 	}
@@ -228,9 +237,11 @@
 }
 
 // Ahead returns the prompt tokens that a new request of a class has to wait
-// for, if nothing else arrives: running prefill and what is served before it.
+// for, if nothing else arrives: what is served before it, and the running
+// prefill of its own and shorter classes, because engines put it before that
+// of longer ones.
 func (q *Queue) Ahead(class rtid.Class, now time.Time) rtid.Tokens {
-	ahead := q.prefill
+	ahead := q.prefillUpTo(class)
 	due := now.Add(headStart[class])
 	for key, waiting := range q.flows {
 		if key.class <= class {
@@ -261,7 +272,7 @@
 	e.prefill = true
 	q.running.add(&e.Item, 1)
 	q.classes[e.Class]++
-	q.prefill += e.Tokens
+	q.prefill[e.Class] += e.Tokens
 	if e.Class == rtid.ClassLong {
 		q.long += e.Tokens
 	}
