Let affinity wait no longer than a short prompt takes

The preferred target was taken up to the prompt's own length of work ahead, so that a prompt of 16k to 256k tokens could wait twice its time for a prefix that may not be cached. The bound is now 1.25 times the mean, or the prefill of a short prompt where the mean is low.

--- a/internal/rtroute/choose.go
+++ b/internal/rtroute/choose.go
@@ -84,10 +84,11 @@
 	if request.excludes(m.Target) || !m.meets(request) {
 		return 0, false
 	}
-	// A cached prefix saves at most the prefill of this prompt, so that as
-	// much load is worth a wait even when the mean is lower.
+	// Whether the prefix is cached is not known, and how much of the prompt it
+	// covers is not either, so that only a short wait is worth it when the
+	// mean is low.
 	mean := float64(z.work) / float64(len(z.all))
-	bound := max(boundedLoad*mean, float64(request.Tokens))
+	bound := max(boundedLoad*mean, float64(min(request.Tokens, rtid.ShortLimit)))
 	return best, float64(m.Work()) <= bound && m.hasPlace()
 }
 
