Count only the missing part of a continued answer in its prediction

Cause: a draft that moved with most of its answer was predicted as a whole one, and the prefill of that part was not counted. Change: time for the missing tokens, prefill with the existing ones; a test of continued answers.

--- a/internal/rtagent/dispatch.go
+++ b/internal/rtagent/dispatch.go
@@ -78,7 +78,7 @@
 // if so.
 func (a *Agent) lateBy(r *request, now time.Time) string {
 	remaining := r.item.Deadline.Sub(now)
-	if a.pace.prefill(r.item.Tokens, now)+a.pace.answer(r.output, now) > remaining {
+	if a.pace.prefill(r.item.Tokens, now)+a.pace.answer(r.rest, now) > remaining {
 		return "too little time remains after the queue"
 	}
 	return ""
--- a/internal/rtagent/draft_test.go
+++ b/internal/rtagent/draft_test.go
@@ -35,3 +35,28 @@
 		}
 	})
 }
+
+// Guards against a continued answer that repeats or skips text, or whose
+// checksum is not that of the whole answer.
+func TestDraftContinues(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.engine(1, rtfake.EngineConfig{})
+		agent := w.agent(settings(1))
+		whole := rtfake.Answer([]byte("a prompt"), 50)
+		offer := agent.draft("a prompt", 50, time.Minute)
+		offer.Prefix = []byte(whole[:60])
+		offer.Offset = 20
+		agent.accept(offer)
+		rest, _, err := agent.read(offer.Request, 60)
+		if err != nil || rest != whole[60:] {
+			t.Errorf("got %q, %v, want %q", rest, err, whole[60:])
+		}
+		if text := agent.want(offer.Request, doneOutcome, noReason); text != whole {
+			t.Errorf("got %q, want %q", text, whole)
+		}
+		wrong := agent.draft("a prompt", 50, time.Minute)
+		wrong.Prefix = []byte("not the answer")
+		agent.accept(wrong)
+		agent.want(wrong.Request, notRunOutcome, rtwire.Reason_REASON_TARGET)
+	})
+}
--- a/internal/rtagent/offer.go
+++ b/internal/rtagent/offer.go
@@ -155,6 +155,7 @@
 		model:   seen.service.Model,
 		prefix:  message.Prefix,
 		output:  rtid.Tokens(message.Output),
+		rest:    rest(message),
 		buffer:  rtanswer.NewBuffer(o.item.ID, rtid.Attempt(message.Attempt), rtanswer.MaxSize),
 		body:    message.Body,
 	}
--- a/internal/rtagent/request.go
+++ b/internal/rtagent/request.go
@@ -19,6 +19,7 @@
 	model   rtid.Model
 	prefix  []byte      // part of the answer that exists already
 	output  rtid.Tokens // most tokens of the answer
+	rest    rtid.Tokens // those of output that do not exist yet
 	share   rtid.Tokens // KV memory at each other engine; 0 for most prompts
 	members int         // other engines that the prompt needs
 	buffer  *rtanswer.Buffer
--- a/internal/rtagent/stages.go
+++ b/internal/rtagent/stages.go
@@ -90,9 +90,11 @@
 		item.Weight = seen.organisation.ShareOf(a.settings.Service)
 	}
 	if message.Kind == rtwire.Kind_KIND_DRAFT {
-		item.Tokens = promptTokens(message)
+		prompt := promptTokens(message)
+		// The engine also prefills the part of the answer that exists.
+		item.Tokens = prompt + rtid.Tokens(message.Offset)
 		item.Class = rtid.ClassOf(item.Tokens)
-		item.Memory = item.Tokens + rtid.Tokens(message.Output)
+		item.Memory = prompt + rtid.Tokens(message.Output)
 	}
 	return item
 }
@@ -165,7 +167,7 @@
 	if remaining <= 0 {
 		return refuse(rtwire.Reason_REASON_DEADLINE, "no time remains")
 	}
-	predicted := a.predictWait(&o.item, o.now) + a.pace.answer(rtid.Tokens(o.message.Output), o.now)
+	predicted := a.predictWait(&o.item, o.now) + a.pace.answer(rest(o.message), o.now)
 	if predicted > remaining {
 		return refuse(rtwire.Reason_REASON_DEADLINE, "predicted to take %v of %v",
 			predicted.Round(time.Millisecond), remaining.Round(time.Millisecond))
@@ -173,6 +175,11 @@
 	return nil
 }
 
+// rest returns the most tokens of an answer that do not exist yet.
+func rest(message *rtwire.OfferRequest) rtid.Tokens {
+	return rtid.Tokens(max(0, message.Output-message.Offset))
+}
+
 // predictWait returns the predicted time to the first token.
 func (a *Agent) predictWait(item *rtqueue.Item, now time.Time) time.Duration {
 	prefill := a.pace.prefill(a.queue.Ahead(item.Class, now)+item.Tokens, now)
