--- a/internal/rtentry/fake_test.go
+++ b/internal/rtentry/fake_test.go
@@ -80,11 +80,11 @@
 }
 
 // replace makes a later incarnation of a target known.
-func (n *fakeNode) replace(target rtid.Target, incarnation uint64) {
+func (n *fakeNode) replace(target rtid.Target) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	view := n.views[target]
-	view.Status = &rtwire.Status{Ready: true, Incarnation: incarnation, Load: view.Status.GetLoad()}
+	view.Status = &rtwire.Status{Ready: true, Incarnation: testIncarnation + 1, Load: view.Status.GetLoad()}
 	n.views[target] = view
 }
 
@@ -95,9 +95,11 @@
 	text   string // of every draft
 	offer  func(*rtwire.OfferRequest) (*rtwire.OfferReply, error)
 	query  func(*rtwire.QueryRequest) (*rtwire.QueryReply, error)
-	cut    int           // the first read ends without an end after this many frames; 0 for never
-	silent chan struct{} // a read waits for it before the first frame, if set
+	cut    int // the first read ends without an end after this many frames; 0 for never
+	onCut  func()
+	silent bool          // a read gets no frame
 	pause  time.Duration // before each frame
+	final  rtwire.Final  // outcome and reason of the end; done if zero
 
 	mu      sync.Mutex
 	offers  []*rtwire.OfferRequest
@@ -169,14 +171,11 @@
 	a.reads = append(a.reads, offset)
 	first := len(a.reads) == 1
 	a.mu.Unlock()
-	if a.silent != nil {
+	if a.silent {
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
-		select {
-		case <-a.silent:
-		case <-r.Context().Done():
-			return
-		}
+		<-r.Context().Done()
+		return
 	}
 	count := 0
 	for start := int64(0); start < int64(len(a.text)); start += frameSize {
@@ -186,12 +185,18 @@
 			count++
 		}
 		if first && a.cut > 0 && count == a.cut {
+			if a.onCut != nil {
+				a.onCut()
+			}
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if a.final.Outcome == 0 {
+		a.final.Outcome = rtwire.Outcome_OUTCOME_DONE
+	}
 	total := uint64((len(a.text) + frameSize - 1) / frameSize)
 	a.send(w, r, &rtwire.Frame{Sequence: total, Offset: int64(len(a.text)), Final: &rtwire.Final{
-		Outcome: rtwire.Outcome_OUTCOME_DONE, Count: total,
+		Outcome: a.final.Outcome, Reason: a.final.Reason, Count: total,
 		Size: int64(len(a.text)), Checksum: xxhash.Sum64String(a.text),
 	}})
 }
@@ -225,12 +230,14 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, agents)
+		defer func() {
+			f.stop()
+			f.client.CloseIdleConnections()
+			if err := <-f.done; err != nil {
+				t.Errorf("Run: %v", err)
+			}
+		}()
 		test(f)
-		f.stop()
-		if err := <-f.done; err != nil {
-			t.Errorf("Run: %v", err)
-		}
-		f.client.CloseIdleConnections()
 	})
 }
 
--- a/internal/rtfleet/cell_test.go
+++ b/internal/rtfleet/cell_test.go
@@ -1,11 +1,14 @@
 package rtfleet
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,9 +26,15 @@
 const (
 	cellLimit   = 8 * time.Second // time limit of the requests
 	faultLength = 4 * time.Second
-	settleTime  = 10 * time.Second // until leases, expiries and reconciliation are over
+	pastLimit   = cellLimit + 2*time.Second // wakes up after the time limit of all requests
+	settleTime  = 10 * time.Second          // until leases, expiries and reconciliation are over
 	linkDelay   = 2 * time.Millisecond
+	// viewTime is a heartbeat interval with its jitter: until then an entry
+	// may know only the agents that were ready at its first heartbeat, and
+	// refuses for lack of targets.
+	viewTime    = 1200 * time.Millisecond
 	outputLimit = 20
+	orderBody   = "file with the registry"
 	promptSize  = 128 << 10 // bytes, 32k tokens: 4 steps of prefill
 )
 
@@ -44,11 +53,18 @@
 	drafts []*draftRun
 	orders []*orderRun
 	tasks  []*rttask.Task
+
+	monitor   *monitor
+	entryLost atomic.Bool // an entry was killed or frozen, so that its callers may see no end
+	entryLate bool        // an entry was frozen past the time limit
 }
 
 // draftRun is one draft and what its caller saw.
 type draftRun struct {
 	prompt  []byte
+	output  int
+	limit   time.Duration
+	zone    int // of the entry that gets it first
 	seen    Draft
 	err     error // of the last stream
 	sent    time.Time
@@ -60,18 +76,17 @@
 type orderRun struct {
 	id      rtid.Request
 	replies []rtapi.Status
-	sent    time.Time
-	ended   time.Time
+	longest time.Duration // of the puts that one entry answered
 }
 
 // newTestFleet starts a fleet on an in-memory network with one entry, one
 // engine and one plain service in each availability zone.
-func newTestFleet(t *testing.T) (*Fleet, *rtfake.Network) {
+func newTestFleet(t *testing.T, change func(*Options)) (*Fleet, *rtfake.Network) {
 	t.Helper()
 	fabric := &rtfake.Network{Seed: 1, Default: func(string, string) rtfake.Latency {
 		return rtfake.Latency{Base: linkDelay, Jitter: linkDelay / 2}
 	}}
-	fleet, err := New(t.Context(), Options{
+	options := Options{
 		Space:    &Memory{Fabric: fabric},
 		Document: testDocument(),
 		Entries:  1, Engines: 1, Plain: 1,
@@ -80,7 +95,11 @@
 		Agent:   testAgent,
 		Drain:   2 * cellLimit,
 		Longest: cellLimit,
-	})
+	}
+	if change != nil {
+		change(&options)
+	}
+	fleet, err := New(t.Context(), options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,16 +108,23 @@
 
 // runCell runs body in a bubble of virtual time with a fleet that serves, and
 // checks all invariants at the end.
-func runCell(t *testing.T, body func(*cell)) {
+func runCell(t *testing.T, change func(*Options), body func(*cell)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fleet, fabric := newTestFleet(t)
+		fleet, fabric := newTestFleet(t, change)
 		c := &cell{
 			t: t, ctx: t.Context(), fleet: fleet, fabric: fabric, client: rtnet.Client(fabric),
 			document: testDocument(), version: 1,
 		}
 		defer c.close()
+		for deadline := time.Now().Add(cellLimit); !c.ready() && time.Now().Before(deadline); {
+			c.wait(viewTime / 10)
+		}
+		c.wait(viewTime)
 		c.until("the fleet serves", c.serves)
+		c.monitor = newMonitor(c)
+		watching := rttask.Start(c.ctx, "monitor", c.monitor.run)
+		defer func() { _ = watching.Stop() }()
 		body(c)
 		c.finish()
 		c.wait(settleTime)
@@ -137,6 +163,32 @@
 	return Caller{Client: c.client, Entry: c.fleet.Entries[zone].Callers, Organisation: "high-court"}
 }
 
+// processes returns all entries and agents.
+func (c *cell) processes() []*Process {
+	return slices.Concat(c.fleet.Entries, c.fleet.Agents)
+}
+
+// ready reports whether every process says that it is ready.
+func (c *cell) ready() bool {
+	for _, process := range c.processes() {
+		status, err := c.status(process)
+		if err != nil || !status.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+// status reads the status of a process as an operator does.
+func (c *cell) status(process *Process) (processStatus, error) {
+	operator := Caller{Client: c.client, Entry: process.Operators}
+	ctx, cancel := context.WithTimeout(c.ctx, cellLimit)
+	defer cancel()
+	var status processStatus
+	err := operator.Call(ctx, http.MethodGet, "/status", nil, &status)
+	return status, err
+}
+
 // serves reports whether every entry accepts a short draft and issues order
 // ids.
 func (c *cell) serves() bool {
@@ -163,24 +215,48 @@
 // draft sends a draft through the entry of the first availability zone. When
 // the stream breaks, the caller resumes through the other entries.
 func (c *cell) draft(name string) *draftRun {
-	prompt := make([]byte, promptSize)
+	return c.send(name, draftRun{prompt: promptOf(name, promptSize), output: outputLimit, limit: cellLimit})
+}
+
+// long sends a draft with a long answer.
+func (c *cell) long(name string, output int, limit time.Duration) *draftRun {
+	return c.send(name, draftRun{prompt: promptOf(name, 4<<10), output: output, limit: limit})
+}
+
+// sized sends a draft with a prompt of a size through the next entry.
+func (c *cell) sized(name string, size int) *draftRun {
+	number := len(c.drafts)
+	name = fmt.Sprintf("%s-%d", name, number)
+	return c.send(name, draftRun{
+		prompt: promptOf(name, size), output: outputLimit, limit: cellLimit, zone: number % len(c.fleet.Entries),
+	})
+}
+
+// promptOf returns a prompt that begins with name, so that its answer is its
+// own.
+func promptOf(name string, size int) []byte {
+	prompt := bytes.Repeat([]byte("x"), size)
 	copy(prompt, name)
-	for i := len(name); i < len(prompt); i++ {
-		prompt[i] = 'x'
-	}
-	run := &draftRun{prompt: prompt, sent: time.Now()}
+	return prompt
+}
+
+// send sends a draft. When the stream breaks, the caller resumes through the
+// other entries.
+func (c *cell) send(name string, draft draftRun) *draftRun {
+	run := &draft
+	run.sent = time.Now()
 	c.drafts = append(c.drafts, run)
 	c.start(name, func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, cellLimit+time.Second)
+		ctx, cancel := context.WithTimeout(ctx, run.limit+time.Second)
 		defer cancel()
 		see := func(draft Draft) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			run.seen = draft
 		}
-		request := rtapi.DraftRequest{Service: "drafts", Prompt: string(prompt), Output: outputLimit, Limit: cellLimit.String()}
-		draft, err := c.caller(0).Draft(ctx, request, see)
-		for zone := 1; !draft.Ended && draft.ID != "" && ctx.Err() == nil; zone++ {
+		request := rtapi.DraftRequest{Service: "drafts", Prompt: string(run.prompt), Output: int64(run.output), Limit: run.limit.String()}
+		draft, err := c.caller(run.zone).Draft(ctx, request, see)
+		for zone := run.zone + 1; !draft.Ended && draft.ID != "" && ctx.Err() == nil; zone++ {
 			run.resumed = true
 			c.wait(100 * time.Millisecond)
 			draft, err = c.caller(zone%len(c.fleet.Entries)).Resume(ctx, draft, see)
@@ -218,23 +294,24 @@
 // put sends the order through the entry of an availability zone, and again
 // through the next ones until one answers.
 func (c *cell) put(run *orderRun, zone int) {
-	if run.sent.IsZero() {
-		run.sent = time.Now()
-	}
 	c.start("order", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, cellLimit+time.Second)
 		defer cancel()
 		for ; ctx.Err() == nil; zone++ {
+			sent := time.Now()
 			status, err := c.order(ctx, run, zone, http.MethodPut)
 			if err == nil {
 				c.mu.Lock()
 				defer c.mu.Unlock()
 				run.replies = append(run.replies, status)
-				run.ended = time.Now()
+				run.longest = max(run.longest, time.Since(sent))
 				return nil
 			}
 			c.wait(100 * time.Millisecond)
 		}
+		if !c.entryLost.Load() {
+			c.t.Errorf("order %s got no answer within its time limit", run.id)
+		}
 		return nil
 	})
 }
@@ -244,7 +321,7 @@
 	var status rtapi.Status
 	path := fmt.Sprintf("/v1/orders/%s?limit=%v", run.id, cellLimit)
 	caller := c.caller(zone % len(c.fleet.Entries))
-	err := caller.Call(ctx, method, path, []byte("file with the registry"), &status)
+	err := caller.Call(ctx, method, path, []byte(orderBody), &status)
 	if err == nil && status.ID == "" && status.Reason == "" {
 		err = errors.New("empty answer")
 	}
@@ -261,9 +338,17 @@
 // publish publishes the document with the state of the first availability
 // zone.
 func (c *cell) publish(state rtdocument.State) {
+	c.publishZones(state, 0)
+}
+
+// publishZones publishes the document with the state of some availability
+// zones. The monitor gets to know what that means for their targets.
+func (c *cell) publishZones(state rtdocument.State, zones ...int) {
 	document := c.document
 	document.Zones = append([]rtdocument.Zone(nil), document.Zones...)
-	document.Zones[0].State = state
+	for _, zone := range zones {
+		document.Zones[zone].State = state
+	}
 	document.Base = c.document.Revision
 	document.Revision = document.Base + 1
 	version, err := c.fleet.Publish(document)
@@ -271,4 +356,11 @@
 		c.t.Error(err)
 	}
 	c.document, c.version = document, version
+	for _, agent := range c.fleet.Agents {
+		if document.ZoneState(agent.Zone) == rtdocument.StateOut {
+			c.monitor.close(agent.Target)
+		} else {
+			c.monitor.open(agent.Target)
+		}
+	}
 }
--- a/internal/rtnode/heartbeat.go
+++ b/internal/rtnode/heartbeat.go
@@ -60,9 +60,10 @@
 	return nil
 }
 
-// chooseSubset recomputes the subset if the list of VMs has changed, or if
-// agents answer that the list does not name. n.mu is held.
-func (n *Node) chooseSubset(now time.Time) {
+// chooseTargets recomputes the subset of an entry and the neighbours of an
+// agent if the list of VMs has changed, or if agents answer that the list does
+// not name. n.mu is held.
+func (n *Node) chooseTargets(now time.Time) {
 	roster := n.table.Roster()
 	candidates := n.table.Candidates(now)
 	unlisted := len(candidates) - len(roster.Members())
@@ -71,8 +72,13 @@
 	}
 	n.chosenFrom = roster.Version()
 	n.chosenUnlisted = unlisted > 0
-	n.subset = rtmember.Subset(n.self, candidates, rtmember.SubsetLimit)
-	n.targets = targetsOf(n.subset)
+	switch n.self.Role {
+	case rtplatform.RoleEntry:
+		n.subset = rtmember.Subset(n.self, candidates, rtmember.SubsetLimit)
+		n.targets = targetsOf(n.subset)
+	case rtplatform.RoleAgent:
+		n.targets = targetsOf(n.neighbours(candidates))
+	}
 }
 
 // updateSubset updates the subset and returns it with the interval of
@@ -82,12 +88,22 @@
 	defer n.mu.Unlock()
 	n.setInterval()
 	n.table.Prune(now)
-	if n.self.Role == rtplatform.RoleEntry {
-		n.chooseSubset(now)
-	}
+	n.chooseTargets(now)
 	return n.subset, n.interval, n.listChanged
 }
 
+// neighbours returns the agents of this zone and service, which an agent can
+// ask for memory. They get no heartbeats.
+func (n *Node) neighbours(candidates []rtplatform.Member) []rtplatform.Member {
+	var near []rtplatform.Member
+	for _, member := range candidates {
+		if member.Role == rtplatform.RoleAgent && member.Zone == n.self.Zone && member.Service == n.self.Service {
+			near = append(near, member)
+		}
+	}
+	return near
+}
+
 // targetsOf returns the targets of agents by service, sorted.
 func targetsOf(agents []rtplatform.Member) map[rtid.Service][]rtid.Target {
 	targets := make(map[rtid.Service][]rtid.Target)
