--- a/internal/rtnode/heartbeat.go
+++ b/internal/rtnode/heartbeat.go
@@ -60,28 +60,43 @@
 	return nil
 }
 
-// updateSubset recomputes the subset and returns it with the interval of
+// chooseTargets recomputes the subset of an entry and the neighbours of an
+// agent if the list of VMs has changed, or if agents answer that the list does
+// not name. n.mu is held.
+func (n *Node) chooseTargets(now time.Time) {
+	roster := n.table.Roster()
+	candidates := n.table.Candidates(now)
+	unlisted := len(candidates) - len(roster.Members())
+	if roster.Version() == n.chosenFrom && unlisted == 0 && !n.chosenUnlisted {
+		return
+	}
+	n.chosenFrom = roster.Version()
+	n.chosenUnlisted = unlisted > 0
+	switch n.self.Role {
+	case rtplatform.RoleEntry:
+		n.subset = rtmember.Subset(n.self, candidates, rtmember.SubsetLimit)
+		n.targets = targetsOf(n.subset)
+	case rtplatform.RoleAgent:
+		n.targets = targetsOf(n.neighbours(candidates))
+	}
+}
+
+// updateSubset updates the subset and returns it with the interval of
 // heartbeats and the channel of the next change of the list.
 func (n *Node) updateSubset(now time.Time) ([]rtplatform.Member, time.Duration, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.setInterval()
 	n.table.Prune(now)
-	switch n.self.Role {
-	case rtplatform.RoleEntry:
-		n.subset = rtmember.Subset(n.self, n.table.Candidates(now), rtmember.SubsetLimit)
-		n.targets = targetsOf(n.subset)
-	case rtplatform.RoleAgent:
-		n.targets = targetsOf(n.neighbours(now))
-	}
+	n.chooseTargets(now)
 	return n.subset, n.interval, n.listChanged
 }
 
 // neighbours returns the agents of this zone and service, which an agent can
-// ask for memory. They get no heartbeats. n.mu is held.
-func (n *Node) neighbours(now time.Time) []rtplatform.Member {
+// ask for memory. They get no heartbeats.
+func (n *Node) neighbours(candidates []rtplatform.Member) []rtplatform.Member {
 	var near []rtplatform.Member
-	for _, member := range n.table.Candidates(now) {
+	for _, member := range candidates {
 		if member.Role == rtplatform.RoleAgent && member.Zone == n.self.Zone && member.Service == n.self.Service {
 			near = append(near, member)
 		}
