Bound the bodies that an entry holds, count entries rarely, route exact paths

Cause: with bodies of up to 16 MiB, some dozens of callers could use up the memory of a small VM; counting the entries of a zone went through the list of VMs ten times a second and service. Ruled out: a bound on connections, because most bodies are small. Change: bytes reserved by length, 256 MiB together, 503 beyond; entries counted every 10 s; decisions take the document in force, not the one of the request's arrival; no redirects. Conclusion: entry, process and fleet tests pass.

--- a/internal/rtentry/callers.go
+++ b/internal/rtentry/callers.go
@@ -16,6 +16,11 @@
 // callers returns the handler of the callers' listener.
 func (e *Entry) callers() http.Handler {
 	router := httprouter.New()
+	// Only the documented paths exist. A redirect would cost callers a round
+	// trip and could turn a PUT into a GET.
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	router.HandleOPTIONS = false
 	router.POST("/v1/drafts", e.handle(e.postDraft))
 	router.GET("/v1/drafts/:id", e.handle(e.getDraft))
 	router.GET("/v1/drafts/:id/status", e.handle(e.getStatus(rtid.KindDraft)))
--- a/internal/rtentry/choose.go
+++ b/internal/rtentry/choose.go
@@ -16,6 +16,11 @@
 // a second, so that a tenth of that adds little to their age.
 const refreshInterval = 100 * time.Millisecond
 
+// countInterval is how often the entries of the own zone are counted. Counting
+// goes through the whole list of VMs, and a few hundred of over ten thousand VMs
+// change in a day.
+const countInterval = 10 * time.Second
+
 // balancer chooses the targets of one service.
 type balancer struct {
 	entry   *Entry
@@ -30,6 +35,8 @@
 	flights rtroute.Flights
 	spill   rtroute.Spill
 	local   rtlimit.Meter // requests of this entry to its own zone
+	entries int           // live entries of the own zone
+	counted time.Time     // when entries was counted
 }
 
 // placement is a chosen target and the record of the work sent to it.
@@ -57,7 +64,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	b.refresh(now, d.version, d.document)
+	b.refresh(now)
 	request := rtroute.Request{
 		Tokens:  d.tokens,
 		Output:  d.output,
@@ -81,11 +88,11 @@
 }
 
 // chooseHome returns the home of a new order: the least loaded target.
-func (b *balancer) chooseHome(x *exchange) (rtnode.View, bool) {
+func (b *balancer) chooseHome() (rtnode.View, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	b.refresh(now, x.version, x.document)
+	b.refresh(now)
 	target, ok := b.pool.LeastLoaded(b.random)
 	if !ok {
 		return rtnode.View{}, false
@@ -104,8 +111,10 @@
 }
 
 // refresh builds the pool again when it is too old or another document is in
-// force.
-func (b *balancer) refresh(now time.Time, version rtid.Version, document *rtdocument.Document) {
+// force. It takes the document in force now, which may be newer than the one
+// that the request passed its filters with.
+func (b *balancer) refresh(now time.Time) {
+	version, document := b.entry.node.Document()
 	if b.pool != nil && b.version == version && now.Sub(b.built) < refreshInterval {
 		return
 	}
@@ -132,8 +141,11 @@
 // entry's requests as it has entries.
 func (b *balancer) setRate(now time.Time, document *rtdocument.Document) {
 	own := b.entry.settings.Zone
-	entries := max(1, b.entry.node.Entries(own))
-	measured := b.local.Rate(now) * float64(entries)
+	if now.Sub(b.counted) >= countInterval {
+		b.counted = now
+		b.entries = max(1, b.entry.node.Entries(own))
+	}
+	measured := b.local.Rate(now) * float64(b.entries)
 	for i := range document.Zones {
 		if document.Zones[i].Name == own {
 			b.pool.SetRate(own, document.Zones[i].Capacity[b.service], measured)
--- a/internal/rtentry/decode.go
+++ b/internal/rtentry/decode.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"sort"
 	"time"
 	"unicode/utf8"
@@ -23,38 +22,11 @@
 	maxOrderBody             = 1 << 20                     // fits a control message of 1.5 MiB
 	maxSmallBody             = 4 << 10
 	maxOutput    rtid.Tokens = 1 << 20
-	bodyTimeout              = 30 * time.Second // from the end of the header to the end of the body
 )
 
 const keyExplanation = "not accepted, because two targets could each find the same key new and run the order twice; " +
 	"get an id with POST /v1/orders, then send the order with PUT /v1/orders/{id} and repeat that with the same id"
 
-// readBody reads a request body of at most limit bytes within bodyTimeout.
-// After a failure the deadline stays, because the server reads on to the end
-// of the body before it closes the connection.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
-	control := http.NewResponseController(w)
-	// Connections without deadlines keep the bound of the request's context.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		_ = control.SetReadDeadline(time.Time{})
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, oversized(rtapi.Finding{Field: "body", Text: fmt.Sprintf("over %d bytes", limit)})
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		slow := malformed(rtapi.Finding{Field: "body", Text: fmt.Sprintf("not received within %v", bodyTimeout)})
-		slow.status = http.StatusRequestTimeout
-		slow.body.Retry = true
-		return nil, slow
-	default:
-		return nil, malformed(rtapi.Finding{Field: "body", Text: "ends early"})
-	}
-}
-
 // oversized returns the refusal of an input that is too large.
 func oversized(findings ...rtapi.Finding) *refusal {
 	refused := malformed(findings...)
--- a/internal/rtentry/draft.go
+++ b/internal/rtentry/draft.go
@@ -39,10 +39,12 @@
 
 // postDraft serves POST /v1/drafts.
 func (e *Entry) postDraft(x *exchange) *refusal {
-	body, refused := readBody(x.w, x.r, maxDraftBody)
+	body, release, refused := e.readBody(x.w, x.r, maxDraftBody)
 	if refused != nil {
 		return refused
 	}
+	// The prompt is kept until the end, for an offer to another target.
+	defer release()
 	decoded, refused := decodeDraft(body, time.Duration(e.settings.Longest))
 	if refused != nil {
 		return refused
--- a/internal/rtentry/entry.go
+++ b/internal/rtentry/entry.go
@@ -62,9 +62,10 @@
 	node     Node
 	agents   agents
 	limits   limits
-	ready    atomic.Bool // new requests are welcome
-	drafts   atomic.Int64
-	leaving  atomic.Bool // never goes back to false
+	ready    atomic.Bool  // new requests are welcome
+	drafts   atomic.Int64 // that run now
+	bodies   atomic.Int64 // bytes reserved for bodies, at most maxBodies
+	leaving  atomic.Bool  // never goes back to false
 
 	balancersMu sync.Mutex
 	balancers   map[rtid.Service]*balancer
--- a/internal/rtentry/input_test.go
+++ b/internal/rtentry/input_test.go
@@ -78,6 +78,9 @@
 		if offersOf(agent) != 0 {
 			t.Error("malformed input was offered")
 		}
+		if held := f.entry.bodies.Load(); held != 0 {
+			t.Errorf("%d bytes are held for bodies that were refused", held)
+		}
 	}, agent)
 }
 
@@ -103,6 +106,22 @@
 	}, &fakeAgent{name: "order-1"})
 }
 
+// Guards against bodies that together use up the memory of an entry.
+func TestBodiesTogether(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.entry.bodies.Store(maxBodies - 10)
+		if status, refused := f.postDraft("3s"); status != http.StatusServiceUnavailable ||
+			refused.Reason != rtapi.ReasonCapacity || !refused.Retry {
+			t.Errorf("status %d: %+v", status, refused)
+		}
+		f.entry.bodies.Store(0)
+		f.draft("3s")
+		if held := f.entry.bodies.Load(); held != 0 {
+			t.Errorf("%d bytes are held after the draft", held)
+		}
+	}, &fakeAgent{name: "engine-1", text: testText})
+}
+
 // Guards against callers that hold a connection without sending a request.
 func TestSlowInput(t *testing.T) {
 	tests := []struct {
--- a/internal/rtentry/operators.go
+++ b/internal/rtentry/operators.go
@@ -71,6 +71,7 @@
 		Ready    bool                          `json:"ready"`
 		Leaving  bool                          `json:"leaving"`
 		Drafts   int64                         `json:"drafts"`  // that run now
+		Bodies   int64                         `json:"bodies"`  // bytes reserved
 		Budget   float64                       `json:"budget"`  // retries allowed now
 		Retries  uint64                        `json:"retries"` // since the start
 		Services map[rtid.Service]serviceState `json:"services"`
@@ -78,6 +79,7 @@
 		Ready:    e.ready.Load(),
 		Leaving:  e.leaving.Load(),
 		Drafts:   e.drafts.Load(),
+		Bodies:   e.bodies.Load(),
 		Services: make(map[rtid.Service]serviceState),
 	}
 	state.Budget, state.Retries = e.limits.left()
--- a/internal/rtentry/order.go
+++ b/internal/rtentry/order.go
@@ -25,10 +25,11 @@
 
 // postOrder serves POST /v1/orders: it hands out an id and runs nothing.
 func (e *Entry) postOrder(x *exchange) *refusal {
-	body, refused := readBody(x.w, x.r, maxSmallBody)
+	body, release, refused := e.readBody(x.w, x.r, maxSmallBody)
 	if refused != nil {
 		return refused
 	}
+	defer release()
 	service, refused := decodeService(body)
 	if refused != nil {
 		return refused
@@ -36,7 +37,7 @@
 	if refused := x.checkPlan(service, rtdocument.KindOrder); refused != nil {
 		return refused
 	}
-	view, ok := e.balancer(service).chooseHome(x)
+	view, ok := e.balancer(service).chooseHome()
 	if !ok {
 		return notRun(http.StatusServiceUnavailable, rtapi.ReasonCapacity, true, "no target of the service can take an order now")
 	}
@@ -61,10 +62,11 @@
 	if refused := e.checkOrganisation(x, home.view.Service); refused != nil {
 		return refused
 	}
-	body, refused := readBody(x.w, x.r, maxOrderBody)
+	body, release, refused := e.readBody(x.w, x.r, maxOrderBody)
 	if refused != nil {
 		return refused
 	}
+	defer release()
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.arrived.Add(limit))
 	defer cancel()
 	reply := home.run(ctx, home.offerOf(x, body))
--- a/internal/rtentry/server.go
+++ b/internal/rtentry/server.go
@@ -50,18 +50,23 @@
 		newServer(e.operators()),
 	}
 	failed := make(chan error, len(servers))
+	tasks := make([]*rttask.Task, 0, len(servers))
 	for i, server := range servers {
-		rttask.Start(background, "server", func(context.Context) error {
+		tasks = append(tasks, rttask.Start(background, "server", func(context.Context) error {
 			err := server.Serve(listeners[i])
 			failed <- err
 			return err
-		})
+		}))
 	}
 	err = e.serve(ctx, node, failed)
 	drainErr := e.drain(background, servers[0])
 	for _, server := range servers {
 		_ = server.Close()
 	}
+	for _, task := range tasks {
+		// serve has reported the failures, what is left is the planned end.
+		_ = task.Stop()
+	}
 	e.agents.client.CloseIdleConnections()
 	return errors.Join(err, drainErr, node.Stop())
 }
