Make the tests of routing and limits catch two removed rules

Cause: without the list for short prompts, and without the change of a raised limit, the tests passed.

--- a/internal/rtlimit/limit_test.go
+++ b/internal/rtlimit/limit_test.go
@@ -107,8 +107,11 @@
 	if _, ok := limits.Allow(start, "court", "drafts", 0); !ok {
 		t.Error("refused without a limit")
 	}
-	raised := start.Add(2 * time.Second)
-	for i := range 3 {
+	for ok := true; ok; {
+		_, ok = limits.Allow(start.Add(after), "court", "drafts", 100)
+	}
+	raised := start.Add(after + 100*time.Millisecond)
+	for i := range 10 {
 		if _, ok := limits.Allow(raised, "court", "drafts", 100); !ok {
 			t.Errorf("request %d refused after the limit was raised", i)
 		}
--- a/internal/rtroute/route_test.go
+++ b/internal/rtroute/route_test.go
@@ -87,6 +87,12 @@
 				r.Running = 9
 			}
 		}, map[rtid.Zone][2]float64{"a": {100, 95}}, "c"},
+		{"planned rate of a cold zone reached", func(r *Report) {
+			r.Limit = 5
+			if r.Zone == "b" {
+				r.Running = 5
+			}
+		}, map[rtid.Zone][2]float64{"a": {100, 50}}, "c"},
 		{"cold zone gets little", func(r *Report) {
 			switch r.Zone {
 			case "a":
@@ -143,7 +149,10 @@
 	for i := range reports {
 		reports[i] = warm(fmt.Sprintf("engine-%d", i), "a")
 	}
-	reports[3].Prefill = 500_000
+	for i := range reports {
+		reports[i].Queued = 600_000
+	}
+	reports[3].Queued, reports[3].Prefill = 0, 500_000
 	pool := NewPool(reports, "entry-1")
 	random := newRandom()
 	exclude := []rtid.Target{"engine-1", "engine-2"}
