--- a/internal/rtentry/events.go
+++ b/internal/rtentry/events.go
@@ -107,7 +107,9 @@
 		event.Checksum = s.checksum()
 	}
 	s.send(event)
-	_ = s.control.SetWriteDeadline(time.Time{})
+	if s.err == nil {
+		_ = s.control.SetWriteDeadline(time.Time{})
+	}
 }
 
 // checksum returns the checksum of the text sent so far, or nothing if the
--- a/internal/rtentry/input_test.go
+++ b/internal/rtentry/input_test.go
@@ -122,6 +122,30 @@
 	}, &fakeAgent{name: "engine-1", text: testText})
 }
 
+// Guards against an order that is said to be unknown although its body arrived
+// too late to be sent.
+func TestOrderBodyLate(t *testing.T) {
+	agent := &fakeAgent{name: "order-1"}
+	run(t, func(f *fixture) {
+		id := f.orderID()
+		body, write := io.Pipe()
+		go func() {
+			<-time.After(2 * time.Second)
+			_ = write.Close()
+		}()
+		response, err := f.send("court", http.MethodPut, "/v1/orders/"+id+"?limit=1s", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		var refused rtapi.ErrorBody
+		if err := json.NewDecoder(response.Body).Decode(&refused); err != nil || refused.Outcome != rtapi.NotRun ||
+			refused.Reason != rtapi.ReasonDeadline || refused.ID != "" || offersOf(agent) != 0 {
+			t.Errorf("status %d: %+v, %v", response.StatusCode, refused, err)
+		}
+	}, agent)
+}
+
 // Guards against callers that hold a connection without sending a request.
 func TestSlowInput(t *testing.T) {
 	tests := []struct {
--- a/internal/rtentry/order.go
+++ b/internal/rtentry/order.go
@@ -69,6 +69,9 @@
 	defer release()
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.arrived.Add(limit))
 	defer cancel()
+	if ctx.Err() != nil {
+		return notRun(http.StatusGatewayTimeout, rtapi.ReasonDeadline, true, "the time limit was over when the body had arrived")
+	}
 	reply := home.run(ctx, home.offerOf(x, body))
 	return writeOrder(x, reply)
 }
--- a/internal/rtentry/refusal.go
+++ b/internal/rtentry/refusal.go
@@ -51,12 +51,30 @@
 	writeJSON(w, r.status, r.body)
 }
 
+// replyTimeout bounds the write of a body that is not a stream, so that a
+// caller that does not read holds no connection.
+const replyTimeout = 30 * time.Second
+
 // writeJSON sends a JSON body.
 func writeJSON(w http.ResponseWriter, status int, body any) {
+	// The types of bodies can always be encoded.
+	encoded, _ := json.Marshal(body)
+	encoded = append(encoded, '\n')
+	control := http.NewResponseController(w)
+	// Connections without deadlines keep the bound of their other end.
+	_ = control.SetWriteDeadline(time.Now().Add(replyTimeout))
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
 	w.WriteHeader(status)
-	// A caller that has gone away cannot be told.
-	_ = json.NewEncoder(w).Encode(body)
+	_, err := w.Write(encoded)
+	if err == nil {
+		err = control.Flush()
+	}
+	// After a failure the deadline stays, so that the server does not wait for
+	// the caller again before it closes the connection.
+	if err == nil {
+		_ = control.SetWriteDeadline(time.Time{})
+	}
 }
 
 // reasons maps an agent's reason to the callers' interface.
