--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -46,6 +46,8 @@
 	Status() *rtwire.Status
 	Observe(*rtwire.Status)
 	Targets(rtid.Service) []rtnode.View
+	Configuration() rtnode.Configuration
+	Dump() rtnode.Dump
 	Handler() http.Handler
 	Run(context.Context) error
 }
@@ -55,7 +57,9 @@
 	Network rtnet.Network
 	Log     logr.Logger
 	Metrics *rtmetric.Metrics
-	Node    func(rtnode.Options) Node // nil for rtnode.New
+	Node    func(rtnode.Options) Node  // nil for rtnode.New
+	Queue   func(rtqueue.Limits) Queue // nil for rtqueue.New
+	Flat    bool                       // whether all requests have one priority at the engine
 }
 
 // Agent is the state of one agent process.
@@ -78,7 +82,8 @@
 	mu        sync.Mutex
 	ledger    *rtledger.Ledger
 	memory    *rtmemory.Account
-	queue     *rtqueue.Queue
+	queue     Queue
+	flat      bool // all requests have one priority at the engine
 	warm      *rtwarm.Limit
 	pace      pace
 	pause     pause
@@ -113,7 +118,8 @@
 		failed:    make(chan error, listeners),
 		ledger:    rtledger.New(rtledger.DefaultLimits, now),
 		memory:    rtmemory.New(settings.Memory),
-		queue:     rtqueue.New(queueLimits(settings)),
+		queue:     newQueue(dependencies, queueLimits(settings)),
+		flat:      dependencies.Flat,
 		warm:      rtwarm.New(settings.Cold, settings.Slots),
 		pace:      newPace(settings.Rate),
 		pause:     pause{latest: now},
@@ -139,6 +145,7 @@
 		Epoch:    agent.epoch,
 	})
 	agent.dump.Add("agent", agent.state)
+	agent.dump.Add("node", func() any { return agent.node.Dump() })
 	return agent
 }
 
@@ -175,7 +182,7 @@
 		Running: uint32(a.queue.Running()),
 		Limit:   uint32(a.warm.Now()),
 		Slots:   uint32(a.settings.Slots),
-		Rate:    a.pace.rate,
+		Rate:    a.pace.rateAt(time.Now()),
 		Used:    int64(a.memory.Used()),
 		Total:   int64(a.memory.Total()),
 		Cold:    a.warm.Cold(),
--- a/internal/rtagent/draft.go
+++ b/internal/rtagent/draft.go
@@ -51,7 +51,7 @@
 		Prompt:   r.body,
 		Prefix:   r.prefix,
 		Output:   r.output,
-		Priority: int(r.item.Class),
+		Priority: a.priority(r),
 		Remote:   r.share * rtid.Tokens(r.members),
 		Fence:    a.node.Incarnation(),
 	})
@@ -144,11 +144,10 @@
 	answering := course.last.Sub(course.first)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	ratio := rtwarm.Ratio(toFirst, a.pace.expected(r.ahead))
-	tokenRatio := a.pace.tokenRatio(course.tokens, answering)
-	a.moveWarm(func() { a.warm.Complete(max(ratio, tokenRatio)) })
-	a.pace.prefilled(r.ahead, toFirst)
-	a.pace.answered(course.tokens, answering, tokenRatio >= rtwarm.SlowRatio)
+	ratio := max(rtwarm.Ratio(toFirst, a.pace.expected(r.ahead)), a.pace.tokenRatio(course.tokens, answering))
+	a.moveWarm(func() { a.warm.Complete(ratio) })
+	a.pace.prefilled(r.ahead, toFirst, course.last)
+	a.pace.answered(course.tokens, answering, course.last)
 	a.pace.served(r.item.Class, course.last.Sub(course.sent))
 	a.metrics.Timer("first_token").Record(course.first.Sub(r.item.Arrived))
 }
