--- a/internal/rtanswer/answer_test.go
+++ b/internal/rtanswer/answer_test.go
@@ -79,6 +79,13 @@
 			foreign.Request = "other"
 			late := proto.Clone(frame).(*rtwire.Frame)
 			late.Attempt = 2
+			// The same text would hide an assembler that takes these frames.
+			for _, other := range []*rtwire.Frame{foreign, late} {
+				other.Text = bytes.ToUpper(other.Text)
+				if other.Final != nil {
+					other.Final.Checksum++
+				}
+			}
 			frames = append(frames, frame, foreign, late)
 		}
 		random.Shuffle(len(frames), func(i, j int) { frames[i], frames[j] = frames[j], frames[i] })
--- a/internal/rtfleet/cell_test.go
+++ b/internal/rtfleet/cell_test.go
@@ -75,6 +75,7 @@
 // orderRun is one order and what its caller saw.
 type orderRun struct {
 	id      rtid.Request
+	owner   rtid.Organisation // high-court if empty
 	replies []rtapi.Status
 	longest time.Duration // of the puts that one entry answered
 }
@@ -321,6 +322,9 @@
 	var status rtapi.Status
 	path := fmt.Sprintf("/v1/orders/%s?limit=%v", run.id, cellLimit)
 	caller := c.caller(zone % len(c.fleet.Entries))
+	if run.owner != "" {
+		caller.Organisation = run.owner
+	}
 	err := caller.Call(ctx, method, path, []byte(orderBody), &status)
 	if err == nil && status.ID == "" && status.Reason == "" {
 		err = errors.New("empty answer")
