--- a/internal/rtfleet/scenario_test.go
+++ b/internal/rtfleet/scenario_test.go
@@ -181,6 +181,34 @@
 		c.publish(rtdocument.StateIn)
 		c.fleet.Platform.SetDown(false)
 	}},
+	{"prompts of over twice an engine's memory race", smallEngines, func(c *cell) {
+		first := c.sized("first", groupPrompt)
+		second := c.sized("second", groupPrompt)
+		c.finish()
+		for _, run := range []*draftRun{first, second} {
+			if run.seen.Outcome != rtapi.Done && run.seen.Outcome != rtapi.NotRun {
+				c.t.Errorf("ended as %s, reason %q, error %v", run.seen.Outcome, run.seen.Reason, run.err)
+			}
+		}
+		if first.seen.Outcome != rtapi.Done && second.seen.Outcome != rtapi.Done {
+			c.t.Error("neither of two racing prompts was served")
+		}
+	}},
+	{"member of a group dies", smallEngines, func(c *cell) {
+		run := c.sized("large", groupPrompt)
+		c.until("a group holds memory", func() bool {
+			return c.seen(run).ID != "" && c.fleet.Engines["a-engine-1"].Stats().Used > 0 || c.seen(run).Ended
+		})
+		leader := c.home(run)
+		for _, agent := range c.fleet.Agents[:3] {
+			if agent.Target != leader {
+				agent.Kill()
+				defer c.restart(agent)
+				break
+			}
+		}
+		c.finish()
+	}},
 }
 
 // TestScenarios guards every invariant over courses of several events.
@@ -193,6 +221,17 @@
 	}
 }
 
+// groupPrompt is over twice the memory of an engine of smallEngines.
+const groupPrompt = 400 << 10 // bytes, 100k tokens
+
+// smallEngines lets prompts of a moderate size need three engines.
+func smallEngines(options *Options) {
+	const memory rtid.Tokens = 40_000
+	options.Engines = 3
+	options.Engine.Memory = memory
+	options.Agent.Memory = memory
+}
+
 // burst sends drafts through all entries at once and waits for their ends.
 func (c *cell) burst(count int) {
 	for range count {
