Check that refused drafts ran nowhere, and test late dispatch at the agent

Seen without a failure before: a lost reply told as not run, the checks of an agent after the queue and before dispatch, and the availability zone check of an entry. A refused draft is now looked up by its prompt at every engine, and an agent in an availability zone that is out must get no offers after 5 s.

--- a/internal/rtfake/engine.go
+++ b/internal/rtfake/engine.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
 )
@@ -38,6 +40,7 @@
 	stats    EngineStats
 	// executions counts the generations that were started, by id.
 	executions map[rtid.Request]int
+	prompts    map[uint64]int     // the same, by the hash of the prompt
 	commands   []rttarget.Command // that had an effect
 	changed    chan struct{}      // closed and replaced when Run or a handler may go on
 }
@@ -61,6 +64,7 @@
 		config:     config,
 		model:      config.Model,
 		executions: map[rtid.Request]int{},
+		prompts:    map[uint64]int{},
 		changed:    make(chan struct{}),
 	}
 	e.events = eventLog{delay: config.EventDelay, gap: uint64(config.EventGap)}
@@ -245,6 +249,14 @@
 	return e.executions[id]
 }
 
+// PromptExecutions returns how many generations were started with this prompt,
+// under whichever id.
+func (e *Engine) PromptExecutions(prompt []byte) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.prompts[xxhash.Sum64(prompt)]
+}
+
 // Commands returns the commands of POST /order that had an effect.
 func (e *Engine) Commands() []rttarget.Command {
 	e.mu.Lock()
--- a/internal/rtfake/enginehttp.go
+++ b/internal/rtfake/enginehttp.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
 )
@@ -122,6 +124,7 @@
 	}
 	g.prefill = max(0, g.prefill-e.cache.lookup(request.Prompt))
 	e.executions[request.ID]++
+	e.prompts[xxhash.Sum64(request.Prompt)]++
 	e.stats.Started++
 	e.batch.add(g)
 	e.checkColdLocked()
--- a/internal/rtfleet/invariant_test.go
+++ b/internal/rtfleet/invariant_test.go
@@ -49,7 +49,7 @@
 	}
 	if seen.Ended && seen.Outcome == rtapi.NotRun {
 		for target, engine := range c.fleet.Engines {
-			if seen.ID != "" && engine.Executions(rtid.Request(seen.ID)) > 0 {
+			if engine.PromptExecutions(run.prompt) > 0 {
 				c.t.Errorf("draft %s: refused as not run, but ran at %s", seen.ID, target)
 			}
 		}
--- a/internal/rtfleet/scenario_test.go
+++ b/internal/rtfleet/scenario_test.go
@@ -50,7 +50,15 @@
 	}},
 	{"zone out for long under load", nil, func(c *cell) {
 		c.publish(rtdocument.StateOut)
+		c.trickle(10, 500*time.Millisecond)
+		agent := c.fleet.Agent("a-engine-1")
+		offers := c.records(agent)
 		c.trickle(20, 500*time.Millisecond)
+		// The agent records each refusal. Entries that know the news make no
+		// offers, so that they spend no retries on them.
+		if later := c.records(agent); later != offers {
+			c.t.Errorf("%s got %d offers after 5 s of the news", agent.VM, later-offers)
+		}
 	}},
 	{"zone out, entries of other zones cut off from the news", nil, func(c *cell) {
 		c.cutNews(1)
@@ -273,6 +281,21 @@
 	return targetOf(rtid.Request(seen.ID))
 }
 
+// records returns the number of records in the ledger of an agent.
+func (c *cell) records(agent *Process) int {
+	c.t.Helper()
+	var dump struct {
+		Agent struct {
+			Records int `json:"records"`
+		} `json:"agent"`
+	}
+	operator := Caller{Client: c.client, Entry: agent.Operators}
+	if err := operator.Call(c.ctx, http.MethodGet, "/dump", nil, &dump); err != nil || dump.Agent.Records == 0 {
+		c.t.Errorf("%s: %d records, %v", agent.VM, dump.Agent.Records, err)
+	}
+	return dump.Agent.Records
+}
+
 // hold reserves memory at an engine without its agent.
 func (c *cell) hold(target rtid.Target) {
 	c.t.Helper()
