Order prompts at the engine by their length in finer steps

All prompts of 4k to 64k tokens had one priority, so that a 16k prompt waited for the whole prefill of a 64k one. The priority now rises with each doubling over 4k tokens. The order in the agent's queue, with its ageing, is unchanged.

--- a/internal/rtagent/queue.go
+++ b/internal/rtagent/queue.go
@@ -1,6 +1,7 @@
 package rtagent
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -29,10 +30,12 @@
 	return rtqueue.New(limits)
 }
 
-// priority returns the priority of a request at the engine.
+// priority returns the priority of a request at the engine, the lowest first:
+// it rises with each doubling of the prompt over the short class, so that a
+// prompt does not wait for the prefill of much longer ones.
 func (a *Agent) priority(r *request) int {
 	if a.flat {
 		return 0
 	}
-	return int(r.item.Class)
+	return bits.Len64(uint64(max(0, r.item.Tokens-1) / rtid.ShortLimit))
 }
