--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -46,6 +46,8 @@
 	Status() *rtwire.Status
 	Observe(*rtwire.Status)
 	Targets(rtid.Service) []rtnode.View
+	Configuration() rtnode.Configuration
+	Dump() rtnode.Dump
 	Handler() http.Handler
 	Run(context.Context) error
 }
@@ -143,6 +145,7 @@
 		Epoch:    agent.epoch,
 	})
 	agent.dump.Add("agent", agent.state)
+	agent.dump.Add("node", func() any { return agent.node.Dump() })
 	return agent
 }
 
@@ -179,7 +182,7 @@
 		Running: uint32(a.queue.Running()),
 		Limit:   uint32(a.warm.Now()),
 		Slots:   uint32(a.settings.Slots),
-		Rate:    a.pace.rate,
+		Rate:    a.pace.rateAt(time.Now()),
 		Used:    int64(a.memory.Used()),
 		Total:   int64(a.memory.Total()),
 		Cold:    a.warm.Cold(),
