Answer unknown for orders after a fault of the service itself

Cause: an order that a plain service answered with 500 or 503 was told as not run, although the service may have acted before its fault. The demo's refusal depended on a 1.6 MB offer being answered within 200 ms and failed once on a busy machine. Ruled out: a refusal by the length of the answer; a target that has not yet measured its time between tokens accepts it. Change: only a status below 500 counts as a refusal; the demo's late prompt takes 2.1 s against a limit of 1.5 s.

--- a/internal/rtagent/order.go
+++ b/internal/rtagent/order.go
@@ -52,10 +52,11 @@
 }
 
 // notExecuted returns the result of a call that got no answer. Only a call
-// that was refused or never written is known not to have run.
+// that was refused or never written is known not to have run; a service that
+// reports a fault of its own may have run it before the fault.
 func (a *Agent) notExecuted(ctx context.Context, trace *reach, err error) rtledger.Result {
 	var status *rttarget.StatusError
-	if errors.As(err, &status) {
+	if errors.As(err, &status) && status.Refused() {
 		return notRun(a.refusedByTarget(status), err.Error())
 	}
 	if ctx.Err() == nil {
--- a/internal/rtagent/order_test.go
+++ b/internal/rtagent/order_test.go
@@ -1,6 +1,7 @@
 package rtagent
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -131,3 +132,37 @@
 		}
 	})
 }
+
+// Guards against a refusal that says not run although the service reported a
+// fault of its own, before which it may have acted.
+func TestOrderStatusOfService(t *testing.T) {
+	tests := []struct {
+		status  int
+		outcome rtwire.Outcome
+	}{
+		{http.StatusUnprocessableEntity, notRunOutcome},
+		{http.StatusTooManyRequests, notRunOutcome},
+		{http.StatusInternalServerError, unknownOutcome},
+		{http.StatusServiceUnavailable, unknownOutcome},
+	}
+	for _, test := range tests {
+		t.Run(http.StatusText(test.status), func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				service := rtfake.NewService(rtfake.ServiceConfig{})
+				w.serve(99, http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+					if in.URL.Path == "/run" {
+						http.Error(out, "no", test.status)
+						return
+					}
+					service.ServeHTTP(out, in)
+				}))
+				chosen := serviceSettings()
+				chosen.Address = address(99, 80)
+				agent := w.agent(chosen)
+				offer := agent.order("body", 5*time.Second)
+				agent.accept(offer)
+				agent.want(offer.Request, test.outcome, rtwire.Reason_REASON_TARGET)
+			})
+		})
+	}
+}
--- a/internal/rtdemo/demo.go
+++ b/internal/rtdemo/demo.go
@@ -30,12 +30,12 @@
 	step      = 4 * time.Millisecond  // of the engines
 	drain     = 2 * time.Second       // of a planned stop
 	longest   = 10 * time.Second      // time limit of a request
-	tooShort  = "200ms"               // time limit that the late prompt cannot meet
+	tooShort  = "1500ms"              // time limit that the late prompt cannot meet
 	shortSize = 4_000                 // bytes of the short prompt, about 1,000 tokens
 	longSize  = 1_000_000             // bytes of the long prompt, about 250,000 tokens
-	lateSize  = 1_600_000             // bytes of the late prompt, which takes 0.4 s at this rate
+	lateSize  = 2_200_000             // bytes of the late prompt, which takes 2.1 s to compute
 	output    = 64                    // tokens of each answer
-	prefill   = 4096                  // prompt tokens that an engine computes per step
+	prefill   = 1024                  // prompt tokens that an engine computes per step
 	memory    = 600_000               // tokens of KV memory of an engine
 	rate      = prefill * float64(time.Second/step)
 )
--- a/internal/rttarget/client.go
+++ b/internal/rttarget/client.go
@@ -16,8 +16,7 @@
 // maxReply bounds the body of an answer that is not a stream.
 const maxReply = 4 << 20
 
-// StatusError is an answer of a target other than 200. The target did not do
-// what was asked.
+// StatusError is an answer of a target other than 200.
 type StatusError struct {
 	Status int
 	Detail string
@@ -28,6 +27,13 @@
 	return fmt.Sprintf("target answered %d: %s", e.Status, e.Detail)
 }
 
+// Refused reports whether the target rejected the request before it did
+// anything. A status of 500 and above is a fault of the target, which may have
+// acted before it.
+func (e *StatusError) Refused() bool {
+	return e.Status < http.StatusInternalServerError
+}
+
 // caller sends requests to one target.
 type caller struct {
 	client  *http.Client
@@ -180,8 +186,8 @@
 	return &Service{caller{client, address}}
 }
 
-// Run executes a call that must not be repeated. A StatusError means that it
-// was not executed; with any other error it may have been.
+// Run executes a call that must not be repeated. A StatusError that is Refused
+// means that it was not executed; with any other error it may have been.
 func (s *Service) Run(ctx context.Context, request RunRequest) (RunReply, error) {
 	var reply RunReply
 	err := s.call(ctx, http.MethodPost, "/run", request, &reply)
