Derive the cost of control at the size to design for

The arithmetic put entries at 17.0 and entries that read the platform at 17.9 of 17 KB/s, so SpreadBudget rises from 1,400 to 1,700 B/s and the cost of reading counts what a reader passes on.

--- a/internal/rtmember/interval.go
+++ b/internal/rtmember/interval.go
@@ -14,7 +14,7 @@
 
 	// SpreadBudget is the part of ControlBudget kept for documents and lists
 	// that travel between peers, and for Hellos that announce them.
-	SpreadBudget rtid.Bytes = 1_400
+	SpreadBudget rtid.Bytes = 1_700
 
 	// ExchangeSize is what one Hello and its reply take on the wire: 440 of
 	// HTTP measured over loopback, and 52 of TCP and IP for each of 3 segments.
@@ -39,7 +39,8 @@
 func ReaderCost(document, list rtid.Bytes) rtid.Bytes {
 	perList := list * rtid.Bytes(time.Second) / rtid.Bytes(listPeriod)
 	perDocument := document * rtid.Bytes(time.Second) / rtid.Bytes(documentPeriod)
-	return perDocument + min(perList, ListBudget)
+	// A quarter more for passing the document on and for TCP headers.
+	return perDocument + perDocument/4 + min(perList, ListBudget)
 }
 
 // leastBudget keeps heartbeats going when a reader's documents take most of
