--- a/internal/rtnode/node.go
+++ b/internal/rtnode/node.go
@@ -87,6 +87,7 @@
 	if options.Metrics == nil {
 		options.Metrics = tally.NoopScope
 	}
+	options.Log = options.Log.WithName("control")
 	node := &Node{
 		options:     options,
 		peers:       newPeerClient(options.Network),
