Refuse at the entry what no idle target could read in time

Ruled out: predicting with the reported load, because reports lag by up to a second and the agents know better. Change: a filter compares prompt length and remaining time with the highest reported rate and a margin of 1.25. Conclusion: an offer whose reply is late at the time limit still ends as unknown, which is true.

--- a/internal/rtentry/choose.go
+++ b/internal/rtentry/choose.go
@@ -67,14 +67,8 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	b.refresh(now)
-	request := rtroute.Request{
-		Tokens:  d.tokens,
-		Output:  d.output,
-		Class:   d.class,
-		Prefix:  rtroute.PrefixHash(d.prompt),
-		Remain:  d.deadline.Sub(now),
-		Exclude: tried,
-	}
+	request := d.request(now)
+	request.Exclude = tried
 	target, ok := b.chooseTarget(&request)
 	if !ok {
 		return placement{}, false
@@ -85,6 +79,26 @@
 	return b.place(target, d.tokens), true
 }
 
+// possible reports whether any target could answer a draft in time.
+func (b *balancer) possible(d *draft) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.refresh(now)
+	return b.pool.Possible(d.request(now))
+}
+
+// request returns what a decision needs of a draft.
+func (d *draft) request(now time.Time) rtroute.Request {
+	return rtroute.Request{
+		Tokens: d.tokens,
+		Output: d.output,
+		Class:  d.class,
+		Prefix: rtroute.PrefixHash(d.prompt),
+		Remain: d.deadline.Sub(now),
+	}
+}
+
 // chooseHome returns the home of a new order: the least loaded target.
 func (b *balancer) chooseHome() (rtnode.View, bool) {
 	b.mu.Lock()
--- a/internal/rtentry/draft.go
+++ b/internal/rtentry/draft.go
@@ -35,6 +35,7 @@
 	(*Entry).filterClass,
 	(*Entry).filterLimit,
 	(*Entry).filterOrganisation,
+	(*Entry).filterPossible,
 }
 
 // postDraft serves POST /v1/drafts.
@@ -98,6 +99,16 @@
 	return e.checkOrganisation(d.exchange, d.service)
 }
 
+// filterPossible refuses what no target could answer in time without any other
+// work. An offer would only cost the way there and the retry budget.
+func (e *Entry) filterPossible(d *draft) *refusal {
+	if e.balancer(d.service).possible(d) {
+		return nil
+	}
+	return notRun(http.StatusGatewayTimeout, rtapi.ReasonDeadline, false,
+		"no target can read the prompt within the time limit; send it again with a longer limit")
+}
+
 // delivery is the state of a draft from the first offer to its end.
 type delivery struct {
 	entry   *Entry
--- a/internal/rtentry/draft_test.go
+++ b/internal/rtentry/draft_test.go
@@ -247,6 +247,24 @@
 	}
 }
 
+// Guards against a long prompt that is sent around although no target can read
+// it in time.
+func TestDraftImpossible(t *testing.T) {
+	agent := &fakeAgent{name: "engine-1", text: testText}
+	run(t, func(f *fixture) {
+		body := `{"service":"drafts","prompt":"` + strings.Repeat("word", 2000) + `","output":10,"limit":"1s"}`
+		status, answer := f.call("court", http.MethodPost, "/v1/drafts", []byte(body))
+		var refused rtapi.ErrorBody
+		if err := json.Unmarshal(answer, &refused); err != nil || status != http.StatusGatewayTimeout ||
+			refused.Outcome != rtapi.NotRun || refused.Reason != rtapi.ReasonDeadline {
+			t.Errorf("status %d: %s", status, answer)
+		}
+		if offersOf(agent) != 0 {
+			t.Error("offered")
+		}
+	}, agent)
+}
+
 // Guards against a resume that repeats or loses text, and against reading an
 // answer of another organisation.
 func TestDraftResumeAtEntry(t *testing.T) {
--- a/internal/rtroute/choose.go
+++ b/internal/rtroute/choose.go
@@ -151,6 +151,26 @@
 	return request.Remain <= 0 || r.FirstToken(request.Tokens) <= request.Remain
 }
 
+// rateMargin is how much faster than reported a target is taken to be before a
+// request is called impossible. Reported rates are means over prompts.
+const rateMargin = 1.25
+
+// Possible reports whether any target could give the first token within the
+// remaining time if it had no other work. Reports lag, so load does not count
+// here: the agents decide about it.
+func (p *Pool) Possible(request Request) bool {
+	if request.Remain <= 0 || len(p.targets) == 0 {
+		return true
+	}
+	needed := float64(request.Tokens) / request.Remain.Seconds() / rateMargin
+	for i := range p.targets {
+		if rate := p.targets[i].Rate; rate <= 0 || rate >= needed {
+			return true
+		}
+	}
+	return false
+}
+
 // LeastLoaded returns the target with the lowest corrected load relative to
 // its limit, in any zone. Equal ones are chosen among at random.
 func (p *Pool) LeastLoaded(random *rand.Rand) (rtid.Target, bool) {
--- a/internal/rtroute/route_test.go
+++ b/internal/rtroute/route_test.go
@@ -127,14 +127,7 @@
 			for zone, rate := range test.rates {
 				pool.SetRate(zone, rate[0], rate[1])
 			}
-			random := newRandom()
-			var spill Spill
-			count := 0
-			for range 200 {
-				if zone, ok := pool.ChooseZone("a", &spill, Request{Tokens: 1000}, random); ok && zone == test.want {
-					count++
-				}
-			}
+			count := countZone(pool, test.want)
 			if count < 150 {
 				t.Errorf("%d of 200 in zone %s", count, test.want)
 			}
@@ -142,6 +135,19 @@
 	}
 }
 
+// countZone returns how many of 200 requests of an entry in zone a go to a zone.
+func countZone(pool *Pool, want rtid.Zone) int {
+	random := newRandom()
+	var spill Spill
+	count := 0
+	for range 200 {
+		if zone, ok := pool.ChooseZone("a", &spill, Request{Tokens: 1000}, random); ok && zone == want {
+			count++
+		}
+	}
+	return count
+}
+
 // Guards against prompts at targets that suit another length, and against
 // offers to targets that have refused.
 func TestChooseTarget(t *testing.T) {
@@ -179,6 +185,34 @@
 	}
 }
 
+// Guards against offers that no target can finish, and against a refusal that
+// rests on load or on an unknown rate.
+func TestPossible(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Report)
+		remain time.Duration
+		want   bool
+	}{
+		{"in time", func(*Report) {}, 10 * time.Second, true},
+		{"a little late by the reported rate", func(*Report) {}, 9 * time.Second, true},
+		{"far too late", func(*Report) {}, 5 * time.Second, false},
+		{"load does not count", func(r *Report) { r.Queued = 1_000_000 }, 10 * time.Second, true},
+		{"rate not known", func(r *Report) { r.Rate = 0 }, time.Second, true},
+		{"no time limit", func(*Report) {}, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			report := warm("engine-1", "a")
+			test.change(&report)
+			pool := NewPool([]Report{report}, "entry-1")
+			if got := pool.Possible(Request{Tokens: 100_000, Remain: test.remain}); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against lost cache hits, and against one popular prefix that
 // overloads its target.
 func TestAffinity(t *testing.T) {
