--- /dev/null
+++ b/internal/rtentry/fuzz_test.go
@@ -0,0 +1,54 @@
+package rtentry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
+)
+
+// FuzzDecode guards against bodies of callers that crash the entry, pass with
+// values out of range, or are refused without a finding.
+func FuzzDecode(f *testing.F) {
+	for _, body := range []string{
+		`{"service":"summaries","prompt":"p","output":20,"limit":"30s"}`,
+		`{"service":"summaries"}`,
+		`{"service":"","prompt":"","output":0,"limit":"-1s","more":1}`,
+		`{"service":["a"],"prompt":null,"output":1e30,"limit":30}`,
+		`{"service":"a","service":"b","prompt":"\ud800","output":1,"limit":"1h"}`,
+		`[1]`, `null`, `{} {}`, `{"prompt":"`, "\xff\xfe{}", "",
+	} {
+		f.Add([]byte(body))
+	}
+	const longest = time.Minute
+	f.Fuzz(func(t *testing.T, body []byte) {
+		draft, refused := decodeDraft(body, longest)
+		switch {
+		case refused != nil:
+			checkRefusal(t, refused)
+		case !rtid.ValidName(string(draft.service)), len(draft.prompt) == 0, rtid.Bytes(len(draft.prompt)) > maxPrompt,
+			draft.output < 1, draft.output > maxOutput, draft.limit <= 0, draft.limit > longest:
+			t.Errorf("%q passes as %+v", body, draft)
+		}
+		service, refused := decodeService(body)
+		switch {
+		case refused != nil:
+			checkRefusal(t, refused)
+		case !rtid.ValidName(string(service)):
+			t.Errorf("%q passes as service %q", body, service)
+		}
+	})
+}
+
+func checkRefusal(t *testing.T, refused *refusal) {
+	t.Helper()
+	status := refused.status
+	if status != http.StatusBadRequest && status != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d", status)
+	}
+	if len(refused.body.Findings) == 0 || refused.body.Outcome != rtapi.NotRun || refused.body.Retry {
+		t.Errorf("refusal %+v", refused.body)
+	}
+}
--- /dev/null
+++ b/internal/rtid/fuzz_test.go
@@ -0,0 +1,28 @@
+package rtid
+
+import "testing"
+
+// FuzzParseRequest guards against ids of strangers that crash the parser or
+// name a target that is no valid name, and against homes that change on the
+// way through an id.
+func FuzzParseRequest(f *testing.F) {
+	f.Add(string(NewRequest(Home{Kind: KindDraft, Target: "engine-1", Incarnation: 1, Epoch: 2, Digest: DigestOf("court")})))
+	f.Add("o.service-1.dc6acfac00.0.05f4dda6.0123456789abcdef0123456789abcdef")
+	f.Add("o..0.0.0.0123456789abcdef0123456789abcdef")
+	f.Add("d.a.ffffffffffffffff.ffffffff.ffffffff.0123456789abcdef0123456789abcdef")
+	f.Add("d.a.+1.-1.0x1.0123456789abcdef0123456789abcdef")
+	f.Add("....." + "\x00\xff")
+	f.Fuzz(func(t *testing.T, text string) {
+		home, err := ParseRequest(Request(text))
+		if err != nil {
+			return
+		}
+		if !ValidName(string(home.Target)) {
+			t.Errorf("%q names the target %q", text, home.Target)
+		}
+		again, err := ParseRequest(NewRequest(home))
+		if err != nil || again != home {
+			t.Errorf("%q: home %+v becomes %+v, %v", text, home, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rtsettings/fuzz_test.go
@@ -0,0 +1,35 @@
+package rtsettings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// FuzzRead guards against settings files that crash a program, and against
+// some that pass without what every program needs.
+func FuzzRead(f *testing.F) {
+	for _, text := range []string{
+		"vm = \"vm1\"\nzone = \"a\"\npeers = \"10.0.0.1:7000\"\ncallers = \"10.0.0.1:80\"\nplatform = \"10.0.0.9:80\"\n",
+		"vm = \"vm1\"\nzone = \"a\"\npeers = \"10.0.0.1:7000\"\nplatform = \"10.0.0.9:80\"\ntarget = \"t\"\nservice = \"s\"\n" +
+			"kind = \"engine\"\naddress = \"127.0.0.1:90\"\nmemory = 400000\nslots = 8\nrate = 1e5\n",
+		"drain = \"10m\"\ndrain = \"1s\"\n", "heartbeat = -1\n", "[vm]\nx = 1\n", "seeds = [1, \"a\", \"10.0.0.1:1\"]\n",
+		"vm = \"\\u0000\"", "memory = 99999999999999999999", "= =", "\xff", "",
+	} {
+		f.Add([]byte(text))
+	}
+	path := filepath.Join(f.TempDir(), "settings.toml")
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		entry, findings := ReadEntry(path)
+		if findings.Err() == nil && (entry.VM == "" || entry.Zone == "" || entry.Peers == "" || entry.Callers == "" || entry.Longest <= 0) {
+			t.Errorf("entry passes as %+v", entry)
+		}
+		agent, findings := ReadAgent(path)
+		if findings.Err() == nil && (agent.VM == "" || agent.Target == "" || agent.Address == "" || agent.Slots < 1 || agent.Cold < 1) {
+			t.Errorf("agent passes as %+v", agent)
+		}
+	})
+}
