Return a cold availability zone without failed requests

After a zone returned, requests ended failed with reason target. Two causes: an agent learned of its engine's restart at its next check and then failed what had started at the new start since the return; and the warm-up limit of the old start let more streams in than a cold engine bears until that check.

A restart without a broken call now fails only what started before the last report of the old start, because later requests run at the new one or break by themselves. While the zone is out, the limit goes back to the cold value.

--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -96,6 +96,7 @@
 	leaving   bool
 	down      bool       // the target does not answer
 	suspect   bool       // the target broke a call and has not been checked since
+	reported  time.Time  // when the last report of the target was asked for
 	start     int64      // of the target, 0 before its first report
 	broken    time.Time  // last failure of the target
 	kept      rtid.Bytes // of all answers at the last tick
--- a/internal/rtagent/reconcile.go
+++ b/internal/rtagent/reconcile.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtledger"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
@@ -149,6 +150,7 @@
 
 // reconcile compares the target with the agent's own state.
 func (a *Agent) reconcile(ctx context.Context) {
+	a.coolOut()
 	if !a.checkTarget(ctx) || a.engine == nil {
 		return
 	}
@@ -163,11 +165,25 @@
 	}
 }
 
+// coolOut sets the warm-up limit of a target whose availability zone is out
+// back to the cold value. Targets of a zone that returns are cold, and a
+// restart shortly before the return may not have been noticed.
+func (a *Agent) coolOut() {
+	_, document := a.node.Document()
+	if document == nil || document.ZoneState(a.settings.Zone) == rtdocument.StateIn {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.moveWarm(a.warm.Reset)
+}
+
 // checkTarget reads the target's report and reports whether it answers.
 func (a *Agent) checkTarget(ctx context.Context) bool {
+	asked := time.Now()
 	load, err := a.targetLoad(ctx)
 	if err == nil {
-		a.noticeRestart(load.Start)
+		a.noticeRestart(load.Start, asked)
 	}
 	if ctx.Err() == nil {
 		a.setDown(err != nil)
@@ -198,17 +214,23 @@
 // noticeRestart fails what ran at an engine that has restarted since. What
 // started after the last broken call runs at the new start already. A plain
 // service is left alone: what became of its calls shows in their own answers.
-func (a *Agent) noticeRestart(start int64) {
+//
+// Without a broken call the restart was at some time since the last report of
+// the old start. What has started since then runs at the new start, or its
+// connection breaks.
+func (a *Agent) noticeRestart(start int64, asked time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	reported := a.reported
+	a.reported = asked
 	if start == a.start {
 		return
 	}
 	a.log.Info("target has restarted", "before", a.start, "after", start)
 	a.start = start
 	before := a.broken
-	if now := time.Now(); now.Sub(before) > restartNotice {
-		before = now
+	if time.Since(before) > restartNotice {
+		before = reported
 		a.moveWarm(a.warm.Reset)
 	}
 	if a.engine == nil {
