Move a draft whose agent falls silent or whose target fails

Cause: a draft that was offered to a paused agent waited until its time limit, although other targets were free (real processes: outcome unknown after 10 s), and a draft whose engine died ended as failed. Ruled out: moving orders in the same way; they may run once only. Change: an offer without reply, and its queries, end when the agent has not been heard of for three heartbeat intervals; the draft goes to another target once, after the text that was delivered. The same holds for an answer that ends with a fault of the target. A draft that no target is known to have accepted ends as unknown instead of failed. Measured: in the fault matrix the drafts of kill-agent, freeze-agent, cut-* and kill-target must now be done.

--- a/internal/rtentry/draft.go
+++ b/internal/rtentry/draft.go
@@ -180,7 +180,7 @@
 		return false, nil
 	case verdictGone:
 		if d.moved {
-			return true, d.end(rtapi.Failed, found)
+			return true, d.end(d.lostOutcome(), found)
 		}
 		d.moved = true
 		d.entry.metrics.Scope.Counter("moves").Inc(1)
@@ -200,11 +200,23 @@
 	}
 }
 
+// lostOutcome returns the outcome of a draft whose targets were lost. One that
+// no target is known to have accepted may not have started.
+func (d *delivery) lostOutcome() rtapi.Outcome {
+	if d.events.started {
+		return rtapi.Failed
+	}
+	return rtapi.Unknown
+}
+
 // end ends the draft without a final frame. Text that was delivered shows that
-// the draft had started.
+// the draft had started. A draft that was moved may run at its first target.
 func (d *delivery) end(outcome rtapi.Outcome, found result) *refusal {
-	if d.events.received > 0 || d.moved && outcome == rtapi.NotRun {
+	switch {
+	case d.events.received > 0, found.outcome == rtapi.Failed:
 		outcome = rtapi.Failed
+	case d.moved && outcome == rtapi.NotRun:
+		outcome = d.lostOutcome()
 	}
 	d.entry.countEnd(outcome, found.reason)
 	if d.events.started {
@@ -307,7 +319,7 @@
 	case verdictFinal, verdictRefused:
 		events.end(found.outcome, found.reason, found.final)
 	case verdictGone:
-		events.end(rtapi.Failed, rtapi.ReasonIncarnation, nil)
+		events.end(rtapi.Failed, found.reason, found.final)
 	case verdictExpired:
 		events.end(rtapi.Unknown, rtapi.ReasonDeadline, nil)
 	}
--- a/internal/rtentry/offer.go
+++ b/internal/rtentry/offer.go
@@ -39,9 +39,11 @@
 }
 
 // offerDraft offers a draft to one agent. A lost reply is resolved at the
-// same agent.
+// same agent, unless that agent falls silent.
 func (e *Entry) offerDraft(ctx context.Context, view rtnode.View, offer *rtwire.OfferRequest) result {
-	reply, err := e.offer(ctx, view.Address, offer)
+	heard, stop := e.whileHeard(ctx, view.Target, rtid.Incarnation(offer.GetIncarnation()))
+	defer stop()
+	reply, err := e.offer(heard, view.Address, offer)
 	switch {
 	case err == nil:
 		return resultOf(reply)
@@ -49,7 +51,14 @@
 		return result{verdict: verdictRefused, reason: rtapi.ReasonUnreachable, detail: "the target cannot be reached"}
 	}
 	e.log.V(1).Info("Offer reply lost.", "request", offer.Request, "target", view.Target, "error", err.Error())
-	return e.resolveDraft(ctx, view, offer)
+	found := e.resolveDraft(heard, view, offer)
+	undecided := found.verdict == verdictExpired || found.verdict == verdictCallerGone
+	if undecided && ctx.Err() == nil {
+		// A draft is safe to repeat, so it need not wait until an agent that is
+		// paused or cut off answers.
+		return result{verdict: verdictGone, reason: rtapi.ReasonUnreachable, detail: "the target fell silent after the offer"}
+	}
+	return found
 }
 
 // offer sends one offer and takes in the status of the reply.
@@ -84,7 +93,7 @@
 }
 
 // resolveDraft finds out what became of an offer without a reply. It asks the
-// same agent until the time limit. A ledger that does not know the draft gets
+// same agent until the context ends. A ledger that does not know the draft gets
 // the same offer again, which is idempotent by the request id.
 func (e *Entry) resolveDraft(ctx context.Context, view rtnode.View, offer *rtwire.OfferRequest) result {
 	query := queryOf(offer)
--- a/internal/rtentry/relay.go
+++ b/internal/rtentry/relay.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtanswer"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
-	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
 	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
 )
@@ -18,10 +16,6 @@
 // has an id of its own, which keeps the frames of two attempts apart.
 const attempt rtid.Attempt = 1
 
-// watchInterval is how often a reader checks whether its agent still exists.
-// A connection to a lost VM can stay open without a sign.
-const watchInterval = time.Second
-
 var errCallerGone = errors.New("caller does not read any more")
 
 // relay passes the answer of one accepted draft on to its caller.
@@ -118,7 +112,7 @@
 		Incarnation:  uint64(r.home.Incarnation),
 	})
 	if err != nil {
-		return gone, ctx.Err() == nil && !r.alive()
+		return gone, ctx.Err() == nil && !r.entry.alive(r.home.Target)
 	}
 	var refused *answerError
 	switch {
@@ -140,22 +134,10 @@
 	return r.entry.homeGone(r.home.Target, r.home.Incarnation)
 }
 
-// alive reports whether the agent has been heard of lately.
-func (r *relay) alive() bool {
-	view, ok := r.entry.node.Find(r.home.Target)
-	return ok && view.Alive
-}
-
 // read reads one answer stream until its final frame or an error.
 func (r *relay) read(ctx context.Context) (*rtwire.Final, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watch := rttask.Start(ctx, "watch", func(ctx context.Context) error {
-		r.watch(ctx, cancel)
-		return nil
-	})
-	// watch returns nothing but nil.
-	defer func() { _ = watch.Stop() }()
+	ctx, stop := r.entry.whileHeard(ctx, r.home.Target, r.home.Incarnation)
+	defer stop()
 	stream, err := r.open(ctx)
 	if err != nil {
 		return nil, err
@@ -164,23 +146,6 @@
 	return r.copy(stream)
 }
 
-// watch cancels a read when its agent is gone or has not been heard of.
-func (r *relay) watch(ctx context.Context, cancel context.CancelFunc) {
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if r.gone() || !r.alive() {
-				cancel()
-				return
-			}
-		}
-	}
-}
-
 // copy moves frames through the assembler to the caller.
 func (r *relay) copy(stream *frames) (*rtwire.Final, error) {
 	for {
@@ -209,7 +174,8 @@
 }
 
 // finalResult returns the result of a complete answer stream. An accepted
-// draft that did not run may go to another target, as one that was refused.
+// draft that did not run may go to another target, as one that was refused. So
+// may one whose target failed: it goes on after the text that was delivered.
 func finalResult(final *rtwire.Final, events *events) result {
 	found := result{
 		verdict: verdictFinal,
@@ -218,8 +184,11 @@
 		detail:  final.GetDetail(),
 		final:   final,
 	}
-	if found.outcome == rtapi.NotRun && events.received == 0 {
+	switch {
+	case found.outcome == rtapi.NotRun && events.received == 0:
 		found.verdict = verdictRefused
+	case found.outcome == rtapi.Failed && found.reason == rtapi.ReasonTarget:
+		found.verdict = verdictGone
 	}
 	return found
 }
--- a/internal/rtfleet/matrix_test.go
+++ b/internal/rtfleet/matrix_test.go
@@ -105,20 +105,21 @@
 	heal   func(*cell, victims)
 	length time.Duration // until heal; 0 for faultLength
 	mild   bool          // every request must still be done
+	moves  bool          // the draft must still be done, by another target where needed
 	// refusal is how a mild fault may refuse an order that was not accepted
 	// before it; the order's home cannot change.
 	refusal rtapi.Reason
 }{
 	{name: "none", mild: true},
 	{name: "kill-entry", strike: killEntry, heal: restartEntry},
-	{name: "kill-agent", strike: killAgents, heal: restartAgents},
-	{name: "kill-target", strike: crashTargets},
+	{name: "kill-agent", moves: true, strike: killAgents, heal: restartAgents},
+	{name: "kill-target", moves: true, strike: crashTargets},
 	{name: "freeze-entry", strike: freezeEntry, heal: thawEntry},
-	{name: "freeze-agent", strike: freezeAgents, heal: thawAgents},
+	{name: "freeze-agent", moves: true, strike: freezeAgents, heal: thawAgents},
 	{name: "freeze-target", strike: freezeTargets, heal: thawTargets},
-	{name: "cut-entry-to-agent", strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(v.entry.Host, a.Host) }) }, heal: healLinks},
-	{name: "cut-agent-to-entry", strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(a.Host, v.entry.Host) }) }, heal: healLinks},
-	{name: "cut-both", strike: cutBoth, heal: healLinks},
+	{name: "cut-entry-to-agent", moves: true, strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(v.entry.Host, a.Host) }) }, heal: healLinks},
+	{name: "cut-agent-to-entry", moves: true, strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(a.Host, v.entry.Host) }) }, heal: healLinks},
+	{name: "cut-both", moves: true, strike: cutBoth, heal: healLinks},
 	{name: "cut-target", strike: func(c *cell, v victims) {
 		v.each(func(a *Process) { c.fabric.CutBoth(a.Host, c.fleet.Hosts[a.Target]) })
 	}, heal: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Heal(a.Host, c.fleet.Hosts[a.Target]) }) }},
@@ -199,6 +200,9 @@
 						fault.heal(c, v)
 					}
 					c.finish()
+					if fault.moves {
+						c.checkDraftDone(draft)
+					}
 					if fault.mild {
 						c.checkDone(draft, order, fault.refusal, step.accepted)
 					}
@@ -211,9 +215,7 @@
 // checkDone checks that a fault that must not harm requests did not.
 func (c *cell) checkDone(draft *draftRun, order *orderRun, refusal rtapi.Reason, accepted bool) {
 	c.t.Helper()
-	if draft.seen.Outcome != rtapi.Done {
-		c.t.Errorf("draft %s: outcome %s, reason %s, error %v, want done", draft.seen.ID, draft.seen.Outcome, draft.seen.Reason, draft.err)
-	}
+	c.checkDraftDone(draft)
 	for _, reply := range order.replies {
 		refused := reply.Outcome == rtapi.NotRun && reply.Reason == refusal
 		if refused && !accepted {
@@ -224,3 +226,11 @@
 		}
 	}
 }
+
+// checkDraftDone checks that the caller of a draft has its whole answer.
+func (c *cell) checkDraftDone(draft *draftRun) {
+	c.t.Helper()
+	if draft.seen.Outcome != rtapi.Done {
+		c.t.Errorf("draft %s: outcome %s, reason %s, error %v, want done", draft.seen.ID, draft.seen.Outcome, draft.seen.Reason, draft.err)
+	}
+}
