Prefer targets with free memory for a prompt

A prompt was sent to a target whose memory others held, although another one had it free. It then waited there, and after 20 s blocked medium prompts. Agents report their memory already; the choice of target now uses it.

--- a/internal/rtentry/choose.go
+++ b/internal/rtentry/choose.go
@@ -203,5 +203,7 @@
 		Limit:   int(load.GetLimit()),
 		Slots:   int(load.GetSlots()),
 		Rate:    load.GetRate(),
+		Used:    rtid.Tokens(load.GetUsed()),
+		Total:   rtid.Tokens(load.GetTotal()),
 	}
 }
--- a/internal/rtroute/choose.go
+++ b/internal/rtroute/choose.go
@@ -81,7 +81,7 @@
 		return 0, false
 	}
 	m := &p.targets[best]
-	if request.excludes(m.Target) || !m.meets(request) {
+	if request.excludes(m.Target) || !m.meets(request) || !m.hasMemory(request) {
 		return 0, false
 	}
 	// Whether the prefix is cached is not known, and how much of the prompt it
@@ -128,10 +128,16 @@
 	return best, best >= 0
 }
 
-// better returns the target that meets the deadline, or the one with the
-// earlier first token if both or neither do.
+// better returns the target that has the memory, then the one that meets the
+// deadline, then the one with the earlier first token.
 func (p *Pool) better(i, j int, request *Request) int {
 	a, b := &p.targets[i], &p.targets[j]
+	if fits := a.hasMemory(request); fits != b.hasMemory(request) {
+		if fits {
+			return i
+		}
+		return j
+	}
 	if meets := a.meets(request); meets != b.meets(request) {
 		if meets {
 			return i
--- a/internal/rtroute/target.go
+++ b/internal/rtroute/target.go
@@ -38,6 +38,8 @@
 	Limit   int         // most running requests now, after warm-up
 	Slots   int         // most running requests when warm
 	Rate    float64     // prefill tokens per second
+	Used    rtid.Tokens // KV memory
+	Total   rtid.Tokens // KV memory; 0 if not known
 	Pending Pending     // own offers that the report does not include
 }
 
@@ -64,6 +66,16 @@
 	return r.Running + r.Pending.Requests
 }
 
+// hasMemory reports whether the KV memory for a request is free, with all that
+// waits served before it. A prompt larger than one engine waits anywhere.
+func (r *Report) hasMemory(request *Request) bool {
+	needed := request.Tokens + request.Output
+	if needed > r.Total {
+		return true
+	}
+	return r.Used+r.Queued+r.Pending.Tokens+needed <= r.Total
+}
+
 // hasPlace reports whether a request would not wait for a place.
 func (r *Report) hasPlace() bool {
 	return r.occupied() < max(1, r.Limit)
