--- a/internal/rtagent/dispatch.go
+++ b/internal/rtagent/dispatch.go
@@ -188,7 +188,7 @@
 
 func (a *Agent) reportTask(err error) {
 	if err != nil {
-		a.log.Error(err, "run of a request ended")
+		a.log.Error(err, "Run of a request failed.")
 	}
 }
 
--- a/internal/rtagent/draft.go
+++ b/internal/rtagent/draft.go
@@ -157,7 +157,7 @@
 	before := a.warm.Now()
 	move()
 	if after := a.warm.Now(); after != before {
-		a.log.Info("warm-up limit changed", "before", before, "after", after)
+		a.log.Info("Warm-up limit changed.", "before", before, "after", after)
 		a.metrics.Gauge("warm_limit").Update(float64(after))
 	}
 }
@@ -167,7 +167,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
 	if err := a.engine.Cancel(ctx, id); err != nil {
-		a.log.Info("cancel at the engine failed, reconciliation repeats it", "request", id, "error", err.Error())
+		a.log.Info("Cancel at the engine failed, reconciliation repeats it.", "request", id, "error", err.Error())
 	}
 }
 
--- a/internal/rtagent/group.go
+++ b/internal/rtagent/group.go
@@ -119,7 +119,7 @@
 		case granted:
 			gathered.members = append(gathered.members, member)
 		case err != nil:
-			a.log.Info("member does not answer", "member", view.Target, "error", err.Error())
+			a.log.Info("Member does not answer.", "member", view.Target, "error", err.Error())
 			r.silent[view.Target] = true
 			gathered.unsure = append(gathered.unsure, member)
 		}
@@ -181,7 +181,7 @@
 	defer cancel()
 	for _, member := range append(gathered.members, gathered.unsure...) {
 		if _, err := member.Release(ctx, &rtwire.ReleaseRequest{Group: string(r.item.ID)}); err != nil {
-			a.log.Info("release failed, the lease ends instead", "group", r.item.ID, "error", err.Error())
+			a.log.Info("Release failed, the lease ends instead.", "group", r.item.ID, "error", err.Error())
 		}
 	}
 }
--- a/internal/rtagent/hold.go
+++ b/internal/rtagent/hold.go
@@ -106,7 +106,7 @@
 // caller holds a.mu.
 func (a *Agent) expireHolds(now time.Time) {
 	for _, group := range a.memory.Expire(now) {
-		a.log.Info("lease of a group ended", "group", group)
+		a.log.Info("Lease of a group ended.", "group", group)
 		a.dropHold(group)
 	}
 }
--- a/internal/rtagent/pause.go
+++ b/internal/rtagent/pause.go
@@ -47,7 +47,7 @@
 	if !a.pause.notice(now) {
 		return false
 	}
-	a.log.Info("process was paused, drop waiting requests", "pause", gap.String(), "waiting", a.queue.Waiting())
+	a.log.Info("Process was paused, waiting requests are dropped.", "pause", gap.String(), "waiting", a.queue.Waiting())
 	a.metrics.Counter("pauses").Inc(1)
 	a.abandonWaiting(rtwire.Reason_REASON_PAUSED, "the agent was paused")
 	return true
--- a/internal/rtagent/reconcile.go
+++ b/internal/rtagent/reconcile.go
@@ -40,7 +40,7 @@
 		if err == nil {
 			break
 		}
-		a.log.Info("target is not ready", "error", err.Error())
+		a.log.Info("Target is not ready.", "error", err.Error())
 		if !sleep(ctx, prepareRetry) {
 			return nil
 		}
@@ -84,7 +84,7 @@
 	serving := a.serving()
 	a.mu.Unlock()
 	a.node.SetReady(serving)
-	a.log.Info("ready", "incarnation", uint64(a.node.Incarnation()))
+	a.log.Info("Ready.", "incarnation", uint64(a.node.Incarnation()))
 }
 
 // prepare takes over the target: a fencing number above all earlier ones, and
@@ -134,7 +134,7 @@
 func (a *Agent) freeStream(ctx context.Context, stream rttarget.EngineStream) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	a.log.Info("free memory of an unknown owner", "request", stream.ID, "kind", stream.Kind, "tokens", int64(stream.Tokens))
+	a.log.Info("Freeing memory of an unknown owner.", "request", stream.ID, "kind", stream.Kind, "tokens", int64(stream.Tokens))
 	a.metrics.Counter("streams_freed").Inc(1)
 	switch stream.Kind {
 	case kindStream:
@@ -160,7 +160,7 @@
 	}
 	for _, stream := range a.unknownTwice(streams) {
 		if err := a.freeStream(ctx, stream); err != nil {
-			a.log.Info("free memory failed, repeated at the next reconciliation", "request", stream.ID, "error", err.Error())
+			a.log.Info("Freeing memory failed, reconciliation repeats it.", "request", stream.ID, "error", err.Error())
 		}
 	}
 }
@@ -206,7 +206,7 @@
 	serving := a.serving()
 	a.mu.Unlock()
 	if changed {
-		a.log.Info("target changed", "down", down)
+		a.log.Info("Target changed.", "down", down)
 		a.node.SetReady(serving)
 	}
 }
@@ -226,7 +226,7 @@
 	if start == a.start {
 		return
 	}
-	a.log.Info("target has restarted", "before", a.start, "after", start)
+	a.log.Info("Target has restarted.", "before", a.start, "after", start)
 	a.start = start
 	before := a.broken
 	if time.Since(before) > restartNotice {
--- a/internal/rtagent/run.go
+++ b/internal/rtagent/run.go
@@ -82,7 +82,7 @@
 	a.mu.Unlock()
 	a.node.SetLeaving()
 	a.node.SetReady(false)
-	a.log.Info("leaving, finish accepted work", "limit", time.Duration(a.settings.Drain).String())
+	a.log.Info("Leaving, accepted work finishes.", "limit", time.Duration(a.settings.Drain).String())
 }
 
 // drain waits until accepted work has ended and its answers are gone, at most
@@ -131,7 +131,7 @@
 func (a *Agent) dropRest() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.log.Info("drain limit reached", "waiting", a.queue.Waiting(), "running", a.queue.Running(), "answers", len(a.requests))
+	a.log.Info("Drain limit reached.", "waiting", a.queue.Waiting(), "running", a.queue.Running(), "answers", len(a.requests))
 	a.abandonWaiting(rtwire.Reason_REASON_LEAVING, errStopped.Error())
 	for _, r := range a.requests {
 		if r.cancel != nil {
--- a/internal/rtagent/serve.go
+++ b/internal/rtagent/serve.go
@@ -137,7 +137,7 @@
 		MaxHeaderBytes:    maxHeader,
 	}
 	go func() { a.failed <- serve(name, server, listener) }()
-	a.log.Info("listening", "listener", name, "address", listener.Addr().String())
+	a.log.Info("Listening.", "listener", name, "address", listener.Addr().String())
 	return server, nil
 }
 
--- a/internal/rtagent/target.go
+++ b/internal/rtagent/target.go
@@ -50,7 +50,7 @@
 // targetFailed takes in that the target broke a call. Nothing more is sent to
 // it until a check has shown that it answers.
 func (a *Agent) targetFailed(err error) {
-	a.log.Info("target failed", "error", err.Error())
+	a.log.Info("Target failed.", "error", err.Error())
 	a.metrics.Counter("target_failures").Inc(1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/rtnode/heartbeat.go
+++ b/internal/rtnode/heartbeat.go
@@ -143,7 +143,7 @@
 
 func (n *Node) logEnd(task string, err error) {
 	if err != nil {
-		n.options.Log.Error(err, "task ended", "task", task)
+		n.options.Log.Error(err, "Task ended.", "task", task)
 	}
 }
 
--- a/internal/rtnode/pull.go
+++ b/internal/rtnode/pull.go
@@ -75,7 +75,7 @@
 func (n *Node) countFailure(what string, err error) {
 	if err != nil {
 		n.counters.unanswered.Inc(1)
-		n.options.Log.V(1).Info("call failed", "call", what, "error", err.Error())
+		n.options.Log.V(1).Info("Call failed.", "call", what, "error", err.Error())
 	}
 }
 
@@ -151,12 +151,12 @@
 	switch {
 	case result == rtconfig.Accepted:
 		n.counters.version.Update(float64(version))
-		n.options.Log.Info("document in force", "version", version)
+		n.options.Log.Info("Document in force.", "version", version)
 	case counts.Refused > before.Refused:
-		n.options.Log.Info("document refused", "version", version)
+		n.options.Log.Info("Document refused.", "version", version)
 	}
 	if counts.Conflicts > before.Conflicts {
-		n.options.Log.Info("document was not made from the revision held", "version", version)
+		n.options.Log.Info("Document was not made from the revision held.", "version", version)
 	}
 	return result
 }
--- a/internal/rtnode/reader.go
+++ b/internal/rtnode/reader.go
@@ -143,7 +143,7 @@
 	for _, member := range members {
 		if err := checkMember(member); err != nil {
 			n.counters.malformed.Inc(1)
-			n.options.Log.Info("dropped line of the list of VMs", "error", err.Error())
+			n.options.Log.Info("Line of the list of VMs dropped.", "error", err.Error())
 			continue
 		}
 		delta.Members = append(delta.Members, member)
@@ -239,7 +239,7 @@
 	n.counters.platformCalls.Inc(1)
 	version, body, err := n.platform.Read(ctx)
 	if err != nil && !errors.Is(err, rtplatform.ErrNone) {
-		n.options.Log.V(1).Info("platform not read", "error", err.Error())
+		n.options.Log.V(1).Info("Platform not read.", "error", err.Error())
 		return false
 	}
 	if err == nil {
--- a/internal/rtnode/start.go
+++ b/internal/rtnode/start.go
@@ -36,7 +36,7 @@
 		n.askPeers(ctx)
 		if version, _ := n.Document(); version > 0 {
 			close(n.started)
-			n.options.Log.Info("started", "version", version)
+			n.options.Log.Info("Started.", "version", version)
 			break
 		}
 		wait(ctx, delays.next(), changed)
--- a/internal/rtnode/status.go
+++ b/internal/rtnode/status.go
@@ -62,7 +62,7 @@
 func (n *Node) observe(status *rtwire.Status, made time.Time) bool {
 	if err := check(status); err != nil {
 		n.counters.malformed.Inc(1)
-		n.options.Log.V(1).Info("dropped status", "error", err.Error())
+		n.options.Log.V(1).Info("Status dropped.", "error", err.Error())
 		return false
 	}
 	if rtid.VM(status.Vm) == n.self.VM {
