--- a/internal/rtentry/heard.go
+++ b/internal/rtentry/heard.go
@@ -19,15 +19,19 @@
 	watch := rttask.Start(heard, "watch", func(ctx context.Context) error {
 		ticker := time.NewTicker(watchInterval)
 		defer ticker.Stop()
-		for !e.homeGone(target, incarnation) && e.alive(target) {
+		for {
+			// The first check waits too, so that a call can still read what the
+			// agent had sent before it was lost.
 			select {
 			case <-ctx.Done():
 				return nil
 			case <-ticker.C:
 			}
+			if e.homeGone(target, incarnation) || !e.alive(target) {
+				cancel()
+				return nil
+			}
 		}
-		cancel()
-		return nil
 	})
 	return heard, func() {
 		cancel()
