--- a/internal/rtfleet/apipage_test.go
+++ b/internal/rtfleet/apipage_test.go
@@ -89,7 +89,7 @@
 
 // startExampleFleet starts a fleet with the names of the page on loopback and
 // returns the address of an entry.
-func startExampleFleet(t *testing.T) rtid.Address {
+func startExampleFleet(t testing.TB) rtid.Address {
 	t.Helper()
 	document := testDocument()
 	document.Services = []rtdocument.Service{
