--- a/internal/rtentry/draft.go
+++ b/internal/rtentry/draft.go
@@ -35,14 +35,17 @@
 	(*Entry).filterClass,
 	(*Entry).filterLimit,
 	(*Entry).filterOrganisation,
+	(*Entry).filterPossible,
 }
 
 // postDraft serves POST /v1/drafts.
 func (e *Entry) postDraft(x *exchange) *refusal {
-	body, refused := readBody(x.w, x.r, maxDraftBody)
+	body, release, refused := e.readBody(x.w, x.r, maxDraftBody)
 	if refused != nil {
 		return refused
 	}
+	// The prompt is kept until the end, for an offer to another target.
+	defer release()
 	decoded, refused := decodeDraft(body, time.Duration(e.settings.Longest))
 	if refused != nil {
 		return refused
@@ -96,6 +99,16 @@
 	return e.checkOrganisation(d.exchange, d.service)
 }
 
+// filterPossible refuses what no target could answer in time without any other
+// work. An offer would only cost the way there and the retry budget.
+func (e *Entry) filterPossible(d *draft) *refusal {
+	if e.balancer(d.service).possible(d) {
+		return nil
+	}
+	return notRun(http.StatusGatewayTimeout, rtapi.ReasonDeadline, false,
+		"no target can read the prompt within the time limit; send it again with a longer limit")
+}
+
 // delivery is the state of a draft from the first offer to its end.
 type delivery struct {
 	entry   *Entry
@@ -167,7 +180,7 @@
 		return false, nil
 	case verdictGone:
 		if d.moved {
-			return true, d.end(rtapi.Failed, found)
+			return true, d.end(d.lostOutcome(), found)
 		}
 		d.moved = true
 		d.entry.metrics.Scope.Counter("moves").Inc(1)
@@ -187,11 +200,23 @@
 	}
 }
 
+// lostOutcome returns the outcome of a draft whose targets were lost. One that
+// no target is known to have accepted may not have started.
+func (d *delivery) lostOutcome() rtapi.Outcome {
+	if d.events.started {
+		return rtapi.Failed
+	}
+	return rtapi.Unknown
+}
+
 // end ends the draft without a final frame. Text that was delivered shows that
-// the draft had started.
+// the draft had started. A draft that was moved may run at its first target.
 func (d *delivery) end(outcome rtapi.Outcome, found result) *refusal {
-	if d.events.received > 0 || d.moved && outcome == rtapi.NotRun {
+	switch {
+	case d.events.received > 0, found.outcome == rtapi.Failed:
 		outcome = rtapi.Failed
+	case d.moved && outcome == rtapi.NotRun:
+		outcome = d.lostOutcome()
 	}
 	d.entry.countEnd(outcome, found.reason)
 	if d.events.started {
@@ -294,7 +319,7 @@
 	case verdictFinal, verdictRefused:
 		events.end(found.outcome, found.reason, found.final)
 	case verdictGone:
-		events.end(rtapi.Failed, rtapi.ReasonIncarnation, nil)
+		events.end(rtapi.Failed, found.reason, found.final)
 	case verdictExpired:
 		events.end(rtapi.Unknown, rtapi.ReasonDeadline, nil)
 	}
--- a/internal/rtentry/input_test.go
+++ b/internal/rtentry/input_test.go
@@ -78,6 +78,9 @@
 		if offersOf(agent) != 0 {
 			t.Error("malformed input was offered")
 		}
+		if held := f.entry.bodies.Load(); held != 0 {
+			t.Errorf("%d bytes are held for bodies that were refused", held)
+		}
 	}, agent)
 }
 
@@ -103,6 +106,46 @@
 	}, &fakeAgent{name: "order-1"})
 }
 
+// Guards against bodies that together use up the memory of an entry.
+func TestBodiesTogether(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.entry.bodies.Store(maxBodies - 10)
+		if status, refused := f.postDraft("3s"); status != http.StatusServiceUnavailable ||
+			refused.Reason != rtapi.ReasonCapacity || !refused.Retry {
+			t.Errorf("status %d: %+v", status, refused)
+		}
+		f.entry.bodies.Store(0)
+		f.draft("3s")
+		if held := f.entry.bodies.Load(); held != 0 {
+			t.Errorf("%d bytes are held after the draft", held)
+		}
+	}, &fakeAgent{name: "engine-1", text: testText})
+}
+
+// Guards against an order that is said to be unknown although its body arrived
+// too late to be sent.
+func TestOrderBodyLate(t *testing.T) {
+	agent := &fakeAgent{name: "order-1"}
+	run(t, func(f *fixture) {
+		id := f.orderID()
+		body, write := io.Pipe()
+		go func() {
+			<-time.After(2 * time.Second)
+			_ = write.Close()
+		}()
+		response, err := f.send("court", http.MethodPut, "/v1/orders/"+id+"?limit=1s", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		var refused rtapi.ErrorBody
+		if err := json.NewDecoder(response.Body).Decode(&refused); err != nil || refused.Outcome != rtapi.NotRun ||
+			refused.Reason != rtapi.ReasonDeadline || refused.ID != "" || offersOf(agent) != 0 {
+			t.Errorf("status %d: %+v, %v", response.StatusCode, refused, err)
+		}
+	}, agent)
+}
+
 // Guards against callers that hold a connection without sending a request.
 func TestSlowInput(t *testing.T) {
 	tests := []struct {
--- a/internal/rtroute/choose.go
+++ b/internal/rtroute/choose.go
@@ -81,7 +81,7 @@
 		return 0, false
 	}
 	m := &p.targets[best]
-	if request.excludes(m.Target) || !m.meets(request) {
+	if request.excludes(m.Target) || !m.meets(request) || !m.hasMemory(request) {
 		return 0, false
 	}
 	// Whether the prefix is cached is not known, and how much of the prompt it
@@ -128,10 +128,16 @@
 	return best, best >= 0
 }
 
-// better returns the target that meets the deadline, or the one with the
-// earlier first token if both or neither do.
+// better returns the target that has the memory, then the one that meets the
+// deadline, then the one with the earlier first token.
 func (p *Pool) better(i, j int, request *Request) int {
 	a, b := &p.targets[i], &p.targets[j]
+	if fits := a.hasMemory(request); fits != b.hasMemory(request) {
+		if fits {
+			return i
+		}
+		return j
+	}
 	if meets := a.meets(request); meets != b.meets(request) {
 		if meets {
 			return i
@@ -151,6 +157,26 @@
 	return request.Remain <= 0 || r.FirstToken(request.Tokens) <= request.Remain
 }
 
+// rateMargin is how much faster than reported a target is taken to be before a
+// request is called impossible. Reported rates are means over prompts.
+const rateMargin = 1.25
+
+// Possible reports whether any target could give the first token within the
+// remaining time if it had no other work. Reports lag, so load does not count
+// here: the agents decide about it.
+func (p *Pool) Possible(request Request) bool {
+	if request.Remain <= 0 || len(p.targets) == 0 {
+		return true
+	}
+	needed := float64(request.Tokens) / request.Remain.Seconds() / rateMargin
+	for i := range p.targets {
+		if rate := p.targets[i].Rate; rate <= 0 || rate >= needed {
+			return true
+		}
+	}
+	return false
+}
+
 // LeastLoaded returns the target with the lowest corrected load relative to
 // its limit, in any zone. Equal ones are chosen among at random.
 func (p *Pool) LeastLoaded(random *rand.Rand) (rtid.Target, bool) {
