--- a/internal/rtagent/time_test.go
+++ b/internal/rtagent/time_test.go
@@ -76,6 +76,9 @@
 		first := agent.draft(strings.Repeat("x", 4*350_000), 1000, time.Minute)
 		second := agent.draft("second", 10, time.Minute)
 		agent.accept(first)
+		// The dispatcher must start it before the shorter one arrives, which
+		// would go first.
+		<-time.After(tickInterval)
 		agent.accept(second)
 		<-time.After(100 * time.Millisecond)
 		tests := []struct {
--- a/internal/rtfleet/matrix_test.go
+++ b/internal/rtfleet/matrix_test.go
@@ -123,6 +123,9 @@
 	{name: "cut-target", strike: func(c *cell, v victims) {
 		v.each(func(a *Process) { c.fabric.CutBoth(a.Host, c.fleet.Hosts[a.Target]) })
 	}, heal: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Heal(a.Host, c.fleet.Hosts[a.Target]) }) }},
+	{name: "cut-target-to-agent-past-limit", strike: func(c *cell, v victims) {
+		v.each(func(a *Process) { c.fabric.Cut(c.fleet.Hosts[a.Target], a.Host) })
+	}, heal: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Heal(a.Host, c.fleet.Hosts[a.Target]) }) }, length: pastLimit},
 	{name: "lose-answer", strike: loseAnswers, heal: healLinks},
 	{name: "platform-down", strike: func(c *cell, _ victims) { c.fleet.Platform.SetDown(true) },
 		heal: func(c *cell, _ victims) { c.fleet.Platform.SetDown(false) }, mild: true},
--- a/internal/rtfleet/scenario_test.go
+++ b/internal/rtfleet/scenario_test.go
@@ -103,6 +103,25 @@
 		c.finish()
 		c.fabric.Heal(agent.Host, c.fleet.Entries[0].Host)
 	}},
+	{"reply of the only engine is lost", nil, func(c *cell) {
+		c.publishZones(rtdocument.StateOut, 1, 2)
+		c.wait(2 * time.Second)
+		agent, entry := c.fleet.Agent("a-engine-1"), c.fleet.Entries[0]
+		c.draft("lost")
+		c.wait(5 * linkDelay / 2) // the offer is on its way
+		c.fabric.Cut(agent.Host, entry.Host)
+		c.finish()
+		c.fabric.Heal(agent.Host, entry.Host)
+	}},
+	{"only engine crashes as it starts a draft", nil, func(c *cell) {
+		c.publishZones(rtdocument.StateOut, 1, 2)
+		c.wait(2 * time.Second)
+		engine := c.fleet.Engines["a-engine-1"]
+		draft := c.draft("crash")
+		c.until("the engine has started", func() bool { return engine.PromptExecutions(draft.prompt) > 0 })
+		engine.Crash()
+		c.finish()
+	}},
 	{"agent restarts beside a busy engine", nil, func(c *cell) {
 		long := c.long(longOutput, cellLimit)
 		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
