--- a/internal/rtfleet/scenario_test.go
+++ b/internal/rtfleet/scenario_test.go
@@ -67,16 +67,25 @@
 		c.healNews(1)
 	}},
 	{"agents leave for long under load", nil, func(c *cell) {
-		long := c.long("long", 60, cellLimit)
+		long := c.long(60, cellLimit)
 		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
 		agent := c.fleet.Agent(c.home(long))
 		c.stop(agent)
-		c.trickle(20, 500*time.Millisecond)
+		c.wait(time.Second)
+		offers := c.records(agent)
+		for range 5 {
+			c.sized("short", 4<<10)
+			c.wait(300 * time.Millisecond)
+		}
+		if later := c.records(agent); later != offers {
+			c.t.Errorf("%s got %d offers a second after it began to leave", agent.VM, later-offers)
+		}
+		c.trickle(10, 500*time.Millisecond)
 		c.replace(agent)
 		c.wantDone(long)
 	}},
 	{"answer longer than its time limit", nil, func(c *cell) {
-		long := c.long("long", longOutput, 3*time.Second)
+		long := c.long(longOutput, 3*time.Second)
 		c.finish()
 		c.wait(lateness)
 		if streams := c.fleet.Engines[c.home(long)].Stats().Streams; streams != 0 {
@@ -87,15 +96,34 @@
 		}
 	}},
 	{"agent silent until the time limit", nil, func(c *cell) {
-		long := c.long("long", longOutput, 3*time.Second)
+		long := c.long(longOutput, 3*time.Second)
 		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
 		agent := c.fleet.Agent(c.home(long))
 		c.fabric.CutBoth(agent.Host, c.fleet.Entries[0].Host)
 		c.finish()
 		c.fabric.Heal(agent.Host, c.fleet.Entries[0].Host)
 	}},
+	{"reply of the only engine is lost", nil, func(c *cell) {
+		c.publishZones(rtdocument.StateOut, 1, 2)
+		c.wait(2 * time.Second)
+		agent, entry := c.fleet.Agent("a-engine-1"), c.fleet.Entries[0]
+		c.draft("lost")
+		c.wait(5 * linkDelay / 2) // the offer is on its way
+		c.fabric.Cut(agent.Host, entry.Host)
+		c.finish()
+		c.fabric.Heal(agent.Host, entry.Host)
+	}},
+	{"only engine crashes as it starts a draft", nil, func(c *cell) {
+		c.publishZones(rtdocument.StateOut, 1, 2)
+		c.wait(2 * time.Second)
+		engine := c.fleet.Engines["a-engine-1"]
+		draft := c.draft("crash")
+		c.until("the engine has started", func() bool { return engine.PromptExecutions(draft.prompt) > 0 })
+		engine.Crash()
+		c.finish()
+	}},
 	{"agent restarts beside a busy engine", nil, func(c *cell) {
-		long := c.long("long", longOutput, cellLimit)
+		long := c.long(longOutput, cellLimit)
 		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
 		target := c.home(long)
 		c.hold(target)
@@ -114,7 +142,7 @@
 		}
 	}},
 	{"resume at another entry", nil, func(c *cell) {
-		long := c.long("long", 60, cellLimit)
+		long := c.long(60, cellLimit)
 		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
 		c.killEntry(c.fleet.Entries[0])
 		c.finish()
@@ -122,7 +150,7 @@
 		c.wantDone(long)
 	}},
 	{"two planned stops of entry and agent", nil, func(c *cell) {
-		long := c.long("long", 60, cellLimit)
+		long := c.long(60, cellLimit)
 		order := c.issue()
 		c.until("it streams", func() bool { return len(c.seen(long).Text) > 0 })
 		c.put(order, 1)
