Count only prompts of own and shorter classes in the predicted wait

A long prompt that had waited for 10 s counted as ahead of short ones with all of its tokens, so that admission refused short prompts for up to 10 s of prefill that engines compute after them. Such a prompt costs a slot only.

--- a/internal/rtagent/queue.go
+++ b/internal/rtagent/queue.go
@@ -16,7 +16,7 @@
 	Pop(now time.Time, slots int, free rtid.Tokens) (next rtqueue.Item, ok bool, refused []rtqueue.Item)
 	Prefilled(rtid.Request)
 	Done(id rtid.Request, now time.Time)
-	Ahead(class rtid.Class, now time.Time) rtid.Tokens
+	Ahead(class rtid.Class) rtid.Tokens
 	Waiting() int
 	WaitingTokens() rtid.Tokens
 	Running() int
--- a/internal/rtbaseline/queue.go
+++ b/internal/rtbaseline/queue.go
@@ -85,7 +85,7 @@
 }
 
 // Ahead returns the prompt tokens that a new request has to wait for: all.
-func (q *Queue) Ahead(rtid.Class, time.Time) rtid.Tokens {
+func (q *Queue) Ahead(rtid.Class) rtid.Tokens {
 	return q.Prefill() + q.WaitingTokens()
 }
 
--- a/internal/rtqueue/queue.go
+++ b/internal/rtqueue/queue.go
@@ -243,31 +243,24 @@
 }
 
 // Ahead returns the prompt tokens that a new request of a class has to wait
-// for, if nothing else arrives: what is served before it, and the running
-// prefill of its own and shorter classes, because engines put it before that
-// of longer ones.
-func (q *Queue) Ahead(class rtid.Class, now time.Time) rtid.Tokens {
+// for, if nothing else arrives: what waits or is before its first token in its
+// own and shorter classes. Longer prompts may start before it, but engines put
+// their prefill after that of shorter ones.
+func (q *Queue) Ahead(class rtid.Class) rtid.Tokens {
 	ahead := q.prefillUpTo(class)
-	due := now.Add(headStart[class])
 	for key, waiting := range q.flows {
 		if key.class <= class {
-			ahead += q.flowTokens(waiting, now, due)
-			continue
+			ahead += waiting.tokens()
 		}
-		ahead += q.flowTokens(waiting, now, due.Add(-headStart[key.class]))
 	}
 	return ahead
 }
 
-// flowTokens sums the tokens of a flow that arrived before due.
-func (q *Queue) flowTokens(f *flow, now, due time.Time) rtid.Tokens {
+// tokens returns the prompt tokens of a flow.
+func (f *flow) tokens() rtid.Tokens {
 	var sum rtid.Tokens
 	for element := f.items.Front(); element != nil; element = element.Next() {
-		item := element.Value.(*entry)
-		if item.Arrived.After(due) || item.Arrived.After(now) {
-			break
-		}
-		sum += item.Tokens
+		sum += element.Value.(*entry).Tokens
 	}
 	return sum
 }
