--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -146,7 +146,7 @@
 		Epoch:    agent.epoch,
 	})
 	agent.dump.Add("agent", agent.state)
-	agent.dump.Add("node", func() any { return agent.node.Dump() })
+	agent.dump.Add("control", func() any { return agent.node.Dump() })
 	return agent
 }
 
--- a/internal/rtentry/entry.go
+++ b/internal/rtentry/entry.go
@@ -110,7 +110,7 @@
 		})
 	}
 	entry.dump.Add("entry", entry.state)
-	entry.dump.Add("node", func() any { return entry.node.Dump() })
+	entry.dump.Add("control", func() any { return entry.node.Dump() })
 	return entry, nil
 }
 
--- a/internal/rtentry/operators.go
+++ b/internal/rtentry/operators.go
@@ -1,6 +1,7 @@
 package rtentry
 
 import (
+	"fmt"
 	"net/http"
 	"runtime/debug"
 
@@ -32,7 +33,7 @@
 		writeJSON(w, http.StatusOK, e.status())
 	})
 	router.HandlerFunc(http.MethodGet, "/health", func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(http.StatusOK)
+		_, _ = fmt.Fprintln(w, "ok")
 	})
 	return router
 }
--- a/internal/rtnode/start.go
+++ b/internal/rtnode/start.go
@@ -31,7 +31,7 @@
 	delays := backoff{first: startFirst, last: startLast}
 	n.readPlatform(ctx)
 	close(n.tried)
-	for ctx.Err() == nil {
+	for tries := 0; ctx.Err() == nil; tries++ {
 		changed := n.store.Changed()
 		n.askPeers(ctx)
 		if version, _ := n.Document(); version > 0 {
@@ -39,6 +39,9 @@
 			n.options.Log.Info("Started.", "version", version)
 			break
 		}
+		if tries == 0 {
+			n.options.Log.Info("No document is known, waiting for the platform or a peer.")
+		}
 		wait(ctx, delays.next(), changed)
 		n.readPlatform(ctx)
 	}
