Use the usual terms for unowned streams, group retries and traces

Cause: a newcomer had to guess what strangers, parked requests, neighbours and reach stand for. Measured: tests of the three packages pass, no behaviour changed.

--- a/internal/rtagent/agent.go
+++ b/internal/rtagent/agent.go
@@ -79,27 +79,27 @@
 	fenced   chan error        // holds the reason why a later agent owns the target
 	failed   chan error        // ends of listeners, nil after a planned stop
 
-	mu        sync.Mutex
-	ledger    *rtledger.Ledger
-	memory    *rtmemory.Account
-	queue     Queue
-	flat      bool // all requests have one priority at the engine
-	warm      *rtwarm.Limit
-	pace      pace
-	pause     pause
-	requests  map[rtid.Request]*request // until their answers are gone
-	parked    map[rtid.Request]*request // wait for the next try to reserve memory elsewhere
-	held      map[rtid.Request]bool     // holds at the engine for groups led elsewhere
-	strangers map[rtid.Request]bool     // unknown at the engine in the last reconciliation
-	tasks     []*rttask.Task            // one a running request, owned by the dispatcher
-	ready     bool
-	leaving   bool
-	down      bool       // the target does not answer
-	suspect   bool       // the target broke a call and has not been checked since
-	reported  time.Time  // when the last report of the target was asked for
-	start     int64      // of the target, 0 before its first report
-	broken    time.Time  // last failure of the target
-	kept      rtid.Bytes // of all answers at the last tick
+	mu           sync.Mutex
+	ledger       *rtledger.Ledger
+	memory       *rtmemory.Account
+	queue        Queue
+	flat         bool // all requests have one priority at the engine
+	warm         *rtwarm.Limit
+	pace         pace
+	pause        pause
+	requests     map[rtid.Request]*request // until their answers are gone
+	groupRetries map[rtid.Request]*request // wait for the next try to reserve memory elsewhere
+	held         map[rtid.Request]bool     // holds at the engine for groups led elsewhere
+	unowned      map[rtid.Request]bool     // unknown at the engine in the last reconciliation
+	tasks        []*rttask.Task            // one a running request, owned by the dispatcher
+	ready        bool
+	leaving      bool
+	down         bool       // the target does not answer
+	suspect      bool       // the target broke a call and has not been checked since
+	reported     time.Time  // when the last report of the target was asked for
+	start        int64      // of the target, 0 before its first report
+	broken       time.Time  // last failure of the target
+	kept         rtid.Bytes // of all answers at the last tick
 }
 
 // New returns an agent that has not started.
@@ -107,27 +107,27 @@
 	now := time.Now()
 	client := rtnet.Client(dependencies.Network)
 	agent := &Agent{
-		settings:  settings,
-		network:   dependencies.Network,
-		log:       dependencies.Log.WithName("agent"),
-		metrics:   dependencies.Metrics.Scope,
-		scrape:    dependencies.Metrics.Handler,
-		client:    client,
-		wake:      make(chan struct{}, 1),
-		check:     make(chan struct{}, 1),
-		fenced:    make(chan error, 1),
-		failed:    make(chan error, listeners),
-		ledger:    rtledger.New(rtledger.DefaultLimits, now),
-		memory:    rtmemory.New(settings.Memory),
-		queue:     newQueue(dependencies, queueLimits(settings)),
-		flat:      dependencies.Flat,
-		warm:      rtwarm.New(settings.Cold, settings.Slots),
-		pace:      newPace(settings.Rate),
-		pause:     pause{latest: now},
-		requests:  make(map[rtid.Request]*request),
-		parked:    make(map[rtid.Request]*request),
-		held:      make(map[rtid.Request]bool),
-		strangers: make(map[rtid.Request]bool),
+		settings:     settings,
+		network:      dependencies.Network,
+		log:          dependencies.Log.WithName("agent"),
+		metrics:      dependencies.Metrics.Scope,
+		scrape:       dependencies.Metrics.Handler,
+		client:       client,
+		wake:         make(chan struct{}, 1),
+		check:        make(chan struct{}, 1),
+		fenced:       make(chan error, 1),
+		failed:       make(chan error, listeners),
+		ledger:       rtledger.New(rtledger.DefaultLimits, now),
+		memory:       rtmemory.New(settings.Memory),
+		queue:        newQueue(dependencies, queueLimits(settings)),
+		flat:         dependencies.Flat,
+		warm:         rtwarm.New(settings.Cold, settings.Slots),
+		pace:         newPace(settings.Rate),
+		pause:        pause{latest: now},
+		requests:     make(map[rtid.Request]*request),
+		groupRetries: make(map[rtid.Request]*request),
+		held:         make(map[rtid.Request]bool),
+		unowned:      make(map[rtid.Request]bool),
 	}
 	if settings.Kind == "engine" {
 		agent.engine = rttarget.NewEngine(client, settings.Address)
--- a/internal/rtagent/calls.go
+++ b/internal/rtagent/calls.go
@@ -70,7 +70,7 @@
 	case rtledger.Fresh, rtledger.Known:
 		return describe(a.cancelled(id, record), organisation), nil
 	case rtledger.Conflict:
-		return foreign(), nil
+		return notOwned(), nil
 	case rtledger.Full:
 		return &rtwire.QueryReply{Reason: rtwire.Reason_REASON_QUEUE, Detail: "the ledger is full"}, nil
 	default:
@@ -117,7 +117,7 @@
 		return home, &rtwire.QueryReply{Reason: rtwire.Reason_REASON_MALFORMED, Detail: "the id names another target"}
 	}
 	if !home.Owns(organisation) {
-		return home, foreign()
+		return home, notOwned()
 	}
 	current := a.node.Incarnation()
 	if home.Incarnation == current && (meant == 0 || rtid.Incarnation(meant) == current) {
@@ -138,13 +138,13 @@
 	return home, gone
 }
 
-func foreign() *rtwire.QueryReply {
+func notOwned() *rtwire.QueryReply {
 	return &rtwire.QueryReply{Reason: rtwire.Reason_REASON_CONFLICT, Detail: "the id belongs to another organisation"}
 }
 
 func describe(record rtledger.Record, organisation rtid.Organisation) *rtwire.QueryReply {
 	if record.Organisation != organisation {
-		return foreign()
+		return notOwned()
 	}
 	return &rtwire.QueryReply{
 		Outcome: outcomes[record.State],
--- a/internal/rtagent/dispatch.go
+++ b/internal/rtagent/dispatch.go
@@ -32,7 +32,7 @@
 	a.noticePause(now)
 	a.expireAnswers(now)
 	a.expireHolds(now)
-	a.unpark(now)
+	a.requeueGroups(now)
 	for a.startNext(ctx, now) {
 		continue
 	}
--- a/internal/rtagent/draft.go
+++ b/internal/rtagent/draft.go
@@ -43,7 +43,7 @@
 func (a *Agent) runDraft(ctx context.Context, r *request) rtledger.Result {
 	ctx, cancel := context.WithDeadline(ctx, r.item.Deadline)
 	defer cancel()
-	trace := &reach{}
+	trace := &connectionTrace{}
 	course := &progress{sent: time.Now()}
 	stream, err := a.engine.Generate(trace.watch(ctx), rttarget.GenerateRequest{
 		ID:       r.item.ID,
@@ -68,7 +68,7 @@
 }
 
 // notGenerated returns the result of a generation that got no stream.
-func (a *Agent) notGenerated(ctx context.Context, r *request, trace *reach, err error) rtledger.Result {
+func (a *Agent) notGenerated(ctx context.Context, r *request, trace *connectionTrace, err error) rtledger.Result {
 	var status *rttarget.StatusError
 	if errors.As(err, &status) {
 		return notRun(a.refusedByTarget(status), err.Error())
@@ -76,7 +76,7 @@
 	if ctx.Err() == nil {
 		a.targetFailed(err)
 	}
-	if !trace.reached() {
+	if !trace.wasConnected() {
 		return notRun(reasonOf(ctx), err.Error())
 	}
 	a.cancelStream(ctx, r.item.ID)
--- a/internal/rtagent/group.go
+++ b/internal/rtagent/group.go
@@ -84,7 +84,7 @@
 		a.endRun(r, notRun(reasonOf(ctx), context.Cause(ctx).Error()))
 		return
 	case len(gathered.members) < r.members:
-		a.park(r)
+		a.postponeGroup(r)
 		return
 	}
 	running, stop := context.WithCancelCause(ctx)
@@ -196,8 +196,8 @@
 	}
 }
 
-// park frees what a request holds here until its next try.
-func (a *Agent) park(r *request) {
+// postponeGroup frees what a request holds here until its next try.
+func (a *Agent) postponeGroup(r *request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
@@ -206,7 +206,7 @@
 	r.cancel = nil
 	r.gather++
 	r.retry = now.Add(backoff(r.item.ID, r.gather))
-	a.parked[r.item.ID] = r
+	a.groupRetries[r.item.ID] = r
 	a.signal()
 }
 
@@ -218,18 +218,18 @@
 	return shortestBackoff + time.Duration(spread)
 }
 
-// unpark puts requests back into the queue whose next try is due. The caller
+// requeueGroups puts requests back into the queue whose next try is due. The caller
 // holds a.mu.
-func (a *Agent) unpark(now time.Time) {
-	for id, r := range a.parked {
+func (a *Agent) requeueGroups(now time.Time) {
+	for id, r := range a.groupRetries {
 		switch {
 		case r.settled:
-			delete(a.parked, id)
+			delete(a.groupRetries, id)
 		case !now.Before(r.item.Deadline):
 			a.abandon(r, rtwire.Reason_REASON_DEADLINE, "the time limit passed before enough engines had memory")
-			delete(a.parked, id)
+			delete(a.groupRetries, id)
 		case !now.Before(r.retry) && a.queue.Push(r.item):
-			delete(a.parked, id)
+			delete(a.groupRetries, id)
 		}
 	}
 }
--- a/internal/rtagent/group_test.go
+++ b/internal/rtagent/group_test.go
@@ -102,7 +102,7 @@
 	})
 }
 
-// Guards against an agent whose node knows no neighbours, or that never gets
+// Guards against an agent whose node knows no agents of its zone, or that never gets
 // ready with a real node, and checks what operators see.
 func TestLargePromptWithRealNodes(t *testing.T) {
 	inWorld(t, func(w *world) {
--- a/internal/rtagent/order.go
+++ b/internal/rtagent/order.go
@@ -23,7 +23,7 @@
 	expiry := time.AfterFunc(time.Until(r.item.Deadline), func() { a.expireOrder(r) })
 	defer expiry.Stop()
 	sent := time.Now()
-	trace := &reach{}
+	trace := &connectionTrace{}
 	reply, err := a.service.Run(trace.watch(ctx), rttarget.RunRequest{
 		ID:    r.item.ID,
 		Body:  r.body,
@@ -54,7 +54,7 @@
 // notExecuted returns the result of a call that got no answer. Only a call
 // that was refused or never written is known not to have run; a service that
 // reports a fault of its own may have run it before the fault.
-func (a *Agent) notExecuted(ctx context.Context, trace *reach, err error) rtledger.Result {
+func (a *Agent) notExecuted(ctx context.Context, trace *connectionTrace, err error) rtledger.Result {
 	var status *rttarget.StatusError
 	if errors.As(err, &status) && status.Refused() {
 		return notRun(a.refusedByTarget(status), err.Error())
@@ -62,7 +62,7 @@
 	if ctx.Err() == nil {
 		a.targetFailed(err)
 	}
-	if !trace.reached() {
+	if !trace.wasConnected() {
 		return notRun(reasonOf(ctx), err.Error())
 	}
 	return rtledger.Result{State: rtledger.StateUnknown, Reason: reasonOf(ctx), Detail: err.Error()}
--- a/internal/rtagent/reconcile.go
+++ b/internal/rtagent/reconcile.go
@@ -150,7 +150,7 @@
 
 // reconcile compares the target with the agent's own state.
 func (a *Agent) reconcile(ctx context.Context) {
-	a.coolOut()
+	a.resetWarmUpOutOfZone()
 	if !a.checkTarget(ctx) || a.engine == nil {
 		return
 	}
@@ -165,10 +165,10 @@
 	}
 }
 
-// coolOut sets the warm-up limit of a target whose availability zone is out
+// resetWarmUpOutOfZone sets the warm-up limit of a target whose availability zone is out
 // back to the cold value. Targets of a zone that returns are cold, and a
 // restart shortly before the return may not have been noticed.
-func (a *Agent) coolOut() {
+func (a *Agent) resetWarmUpOutOfZone() {
 	_, document := a.node.Document()
 	if document == nil || document.ZoneState(a.settings.Zone) == rtdocument.StateIn {
 		return
@@ -267,10 +267,10 @@
 			continue
 		}
 		seen[stream.ID] = true
-		if a.strangers[stream.ID] {
+		if a.unowned[stream.ID] {
 			unknown = append(unknown, stream)
 		}
 	}
-	a.strangers = seen
+	a.unowned = seen
 	return unknown
 }
--- a/internal/rtagent/request.go
+++ b/internal/rtagent/request.go
@@ -30,7 +30,7 @@
 	popped  time.Time               // when it left the queue
 	ahead   rtid.Tokens             // prefill tokens that ran when it started, and that started since
 	gather  int                     // tries to reserve memory at the members
-	retry   time.Time               // of the next try, while parked
+	retry   time.Time               // of the next try to reserve memory at other engines
 	silent  map[rtid.Target]bool    // gave no reply in the last try; used by the run only
 	settled bool
 	read    bool // a reader has got the whole answer, so a stop need not wait for it
--- a/internal/rtfleet/fault_test.go
+++ b/internal/rtfleet/fault_test.go
@@ -8,23 +8,23 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
 
-// victims returns the parts that the requests of the cell use. Before the
+// affected returns the parts that the requests of the cell use. Before the
 // draft has an id, it is expected at the engine of its entry's zone.
-func (c *cell) victims(draft *draftRun, order *orderRun) victims {
+func (c *cell) affected(draft *draftRun, order *orderRun) affected {
 	target := rtid.Target("a-engine-1")
 	if draft != nil {
 		if id := c.seen(draft).ID; id != "" {
 			target = targetOf(rtid.Request(id))
 		}
 	}
-	return victims{
+	return affected{
 		entry:  c.fleet.Entries[0],
 		agents: []*Process{c.fleet.Agent(target), c.fleet.Agent(targetOf(order.id))},
 	}
 }
 
 // each calls f for each agent.
-func (v victims) each(f func(*Process)) {
+func (v affected) each(f func(*Process)) {
 	for _, agent := range v.agents {
 		f(agent)
 	}
@@ -82,39 +82,41 @@
 }
 
 // pair combines two faults.
-func pair(first, second func(*cell, victims)) func(*cell, victims) {
-	return func(c *cell, v victims) {
+func pair(first, second func(*cell, affected)) func(*cell, affected) {
+	return func(c *cell, v affected) {
 		first(c, v)
 		second(c, v)
 	}
 }
 
-func killEntry(c *cell, v victims) { c.killEntry(v.entry) }
+func killEntry(c *cell, v affected) { c.killEntry(v.entry) }
 func (c *cell) killEntry(entry *Process) {
 	c.entryLost.Store(true)
 	entry.Kill()
 }
 
-func freezeEntry(c *cell, v victims) {
+func freezeEntry(c *cell, v affected) {
 	c.entryLost.Store(true)
 	c.fabric.Freeze(v.entry.Host)
 }
 
-func thawEntry(c *cell, v victims)    { c.fabric.Thaw(v.entry.Host) }
-func restartEntry(c *cell, v victims) { c.restart(v.entry) }
+func thawEntry(c *cell, v affected)    { c.fabric.Thaw(v.entry.Host) }
+func restartEntry(c *cell, v affected) { c.restart(v.entry) }
 
-func killAgents(_ *cell, v victims)    { v.each((*Process).Kill) }
-func restartAgents(c *cell, v victims) { v.each(c.restart) }
+func killAgents(_ *cell, v affected)    { v.each((*Process).Kill) }
+func restartAgents(c *cell, v affected) { v.each(c.restart) }
 
-func freezeAgents(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Freeze(a.Host) }) }
-func thawAgents(c *cell, v victims)   { v.each(func(a *Process) { c.fabric.Thaw(a.Host) }) }
+func freezeAgents(c *cell, v affected) { v.each(func(a *Process) { c.fabric.Freeze(a.Host) }) }
+func thawAgents(c *cell, v affected)   { v.each(func(a *Process) { c.fabric.Thaw(a.Host) }) }
 
-func cutBoth(c *cell, v victims)   { v.each(func(a *Process) { c.fabric.CutBoth(v.entry.Host, a.Host) }) }
-func healLinks(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Heal(v.entry.Host, a.Host) }) }
+func cutBoth(c *cell, v affected) {
+	v.each(func(a *Process) { c.fabric.CutBoth(v.entry.Host, a.Host) })
+}
+func healLinks(c *cell, v affected) { v.each(func(a *Process) { c.fabric.Heal(v.entry.Host, a.Host) }) }
 
 // loseAnswers loses the next answer of the plain service, and cuts the answers
 // of the agents after one more byte.
-func loseAnswers(c *cell, v victims) {
+func loseAnswers(c *cell, v affected) {
 	v.each(func(a *Process) {
 		c.fabric.CutAfter(a.Host, v.entry.Host, 1)
 		if service := c.fleet.Services[a.Target]; service != nil {
@@ -131,7 +133,7 @@
 }
 
 // targets calls f for the targets of the agents.
-func (c *cell) targets(v victims, f func(target)) {
+func (c *cell) targets(v affected, f func(target)) {
 	v.each(func(a *Process) {
 		if engine := c.fleet.Engines[a.Target]; engine != nil {
 			f(engine)
@@ -142,39 +144,39 @@
 	})
 }
 
-func crashTargets(c *cell, v victims)  { c.targets(v, target.Crash) }
-func freezeTargets(c *cell, v victims) { c.targets(v, target.Freeze) }
-func thawTargets(c *cell, v victims)   { c.targets(v, target.Thaw) }
+func crashTargets(c *cell, v affected)  { c.targets(v, target.Crash) }
+func freezeTargets(c *cell, v affected) { c.targets(v, target.Freeze) }
+func thawTargets(c *cell, v affected)   { c.targets(v, target.Thaw) }
 
-func turnCold(c *cell, v victims) {
+func turnCold(c *cell, v affected) {
 	if engine := c.fleet.Engines[v.agents[0].Target]; engine != nil {
 		engine.TurnCold()
 	}
 }
 
-func zoneOut(c *cell, _ victims) { c.publish(rtdocument.StateOut) }
-func zoneIn(c *cell, _ victims)  { c.publish(rtdocument.StateIn) }
+func zoneOut(c *cell, _ affected) { c.publish(rtdocument.StateOut) }
+func zoneIn(c *cell, _ affected)  { c.publish(rtdocument.StateIn) }
 
 // cutEntryFromAgents leaves an entry with the platform and the other entries.
-func cutEntryFromAgents(c *cell, v victims) {
+func cutEntryFromAgents(c *cell, v affected) {
 	for _, agent := range c.fleet.Agents {
 		c.fabric.CutBoth(v.entry.Host, agent.Host)
 	}
 }
 
-func cutAgentsFromPlatform(c *cell, v victims) {
+func cutAgentsFromPlatform(c *cell, v affected) {
 	v.each(func(a *Process) { c.fabric.CutBoth(a.Host, platformHost) })
 }
 
-func healAgents(c *cell, v victims) { v.each(c.healAll) }
+func healAgents(c *cell, v affected) { v.each(c.healAll) }
 
 // worsenLinks delays segments between all processes beyond one another and
 // sends one in ten of them twice.
-func worsenLinks(c *cell, _ victims) {
+func worsenLinks(c *cell, _ affected) {
 	c.setLinks(rtfake.Latency{Base: linkDelay, Jitter: 100 * time.Millisecond, Loss: 0.1})
 }
 
-func restoreLinks(c *cell, _ victims) {
+func restoreLinks(c *cell, _ affected) {
 	c.setLinks(rtfake.Latency{Base: linkDelay, Jitter: linkDelay / 2})
 }
 
--- a/internal/rtfleet/fleet.go
+++ b/internal/rtfleet/fleet.go
@@ -277,7 +277,7 @@
 	settings.Address = address
 	f.targets[target] = address
 	process.metrics = "rhubarbtally_agent"
-	process.create = func(network *lifeline, metrics *rtmetric.Metrics) (runner, error) {
+	process.create = func(network *killableNetwork, metrics *rtmetric.Metrics) (runner, error) {
 		return rtagent.New(settings, rtagent.Dependencies{
 			Network: network, Log: f.options.Log, Metrics: metrics, Queue: f.options.Queue, Flat: f.options.Flat,
 		}), nil
@@ -303,7 +303,7 @@
 	if seed != 0 {
 		seed += uint64(len(f.Entries)) // entries must not choose in step
 	}
-	process.create = func(network *lifeline, metrics *rtmetric.Metrics) (runner, error) {
+	process.create = func(network *killableNetwork, metrics *rtmetric.Metrics) (runner, error) {
 		return rtentry.New(settings, rtentry.Dependencies{
 			Network: network, Log: f.options.Log, Metrics: metrics, Seed: seed, Chooser: f.options.Chooser,
 		})
--- a/internal/rtfleet/matrix_test.go
+++ b/internal/rtfleet/matrix_test.go
@@ -33,9 +33,9 @@
 	return document
 }
 
-// victims are the parts that a fault acts on: those that the draft and the
+// affected are the parts that a fault acts on: those that the draft and the
 // order of the cell use.
-type victims struct {
+type affected struct {
 	entry  *Process
 	agents []*Process // of the draft, of the order
 }
@@ -52,7 +52,7 @@
 	}},
 	{"offer", false, func(c *cell) (*draftRun, *orderRun) {
 		order := c.issue()
-		draft := c.draft("victim")
+		draft := c.draft("affected")
 		c.put(order, 0)
 		c.wait(5 * linkDelay / 2) // the offers are on their way to the agents
 		return draft, order
@@ -62,14 +62,14 @@
 			c.draft(name)
 		}
 		order := c.issue()
-		draft := c.draft("victim")
+		draft := c.draft("affected")
 		c.put(order, 0)
 		c.until("the draft was accepted", func() bool { return c.seen(draft).ID != "" || c.seen(draft).Ended })
 		return draft, order
 	}},
 	{"prefill", false, func(c *cell) (*draftRun, *orderRun) {
 		order := c.issue()
-		draft := c.draft("victim")
+		draft := c.draft("affected")
 		c.until("the engine has started", func() bool {
 			id := c.seen(draft).ID
 			return id != "" && c.engineOf(id).Executions(rtid.Request(id)) > 0
@@ -79,7 +79,7 @@
 	}},
 	{"stream", true, func(c *cell) (*draftRun, *orderRun) {
 		order := c.issue()
-		draft := c.draft("victim")
+		draft := c.draft("affected")
 		c.until("the first text has come", func() bool { return len(c.seen(draft).Text) > 0 })
 		c.put(order, 0)
 		c.until("the order runs", func() bool { return c.serviceOf(order).Executions(order.id) > 0 })
@@ -87,7 +87,7 @@
 	}},
 	{"end", true, func(c *cell) (*draftRun, *orderRun) {
 		order := c.issue()
-		draft := c.draft("victim")
+		draft := c.draft("affected")
 		c.put(order, 0)
 		c.until("both ended", func() bool {
 			c.mu.Lock()
@@ -101,8 +101,8 @@
 // faults lists what goes wrong. heal ends the fault after faultLength.
 var faults = []struct {
 	name   string
-	strike func(*cell, victims)
-	heal   func(*cell, victims)
+	strike func(*cell, affected)
+	heal   func(*cell, affected)
 	length time.Duration // until heal; 0 for faultLength
 	mild   bool          // every request must still be done
 	moves  bool          // the draft must still be done, by another target where needed
@@ -117,67 +117,67 @@
 	{name: "freeze-entry", strike: freezeEntry, heal: thawEntry},
 	{name: "freeze-agent", moves: true, strike: freezeAgents, heal: thawAgents},
 	{name: "freeze-target", strike: freezeTargets, heal: thawTargets},
-	{name: "cut-entry-to-agent", moves: true, strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(v.entry.Host, a.Host) }) }, heal: healLinks},
-	{name: "cut-agent-to-entry", moves: true, strike: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Cut(a.Host, v.entry.Host) }) }, heal: healLinks},
+	{name: "cut-entry-to-agent", moves: true, strike: func(c *cell, v affected) { v.each(func(a *Process) { c.fabric.Cut(v.entry.Host, a.Host) }) }, heal: healLinks},
+	{name: "cut-agent-to-entry", moves: true, strike: func(c *cell, v affected) { v.each(func(a *Process) { c.fabric.Cut(a.Host, v.entry.Host) }) }, heal: healLinks},
 	{name: "cut-both", moves: true, strike: cutBoth, heal: healLinks},
-	{name: "cut-target", strike: func(c *cell, v victims) {
+	{name: "cut-target", strike: func(c *cell, v affected) {
 		v.each(func(a *Process) { c.fabric.CutBoth(a.Host, c.fleet.Hosts[a.Target]) })
-	}, heal: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Heal(a.Host, c.fleet.Hosts[a.Target]) }) }},
-	{name: "cut-target-to-agent-past-limit", strike: func(c *cell, v victims) {
+	}, heal: func(c *cell, v affected) { v.each(func(a *Process) { c.fabric.Heal(a.Host, c.fleet.Hosts[a.Target]) }) }},
+	{name: "cut-target-to-agent-past-limit", strike: func(c *cell, v affected) {
 		v.each(func(a *Process) { c.fabric.Cut(c.fleet.Hosts[a.Target], a.Host) })
-	}, heal: func(c *cell, v victims) { v.each(func(a *Process) { c.fabric.Heal(a.Host, c.fleet.Hosts[a.Target]) }) }, length: pastLimit},
+	}, heal: func(c *cell, v affected) { v.each(func(a *Process) { c.fabric.Heal(a.Host, c.fleet.Hosts[a.Target]) }) }, length: pastLimit},
 	{name: "lose-answer", strike: loseAnswers, heal: healLinks},
-	{name: "platform-down", strike: func(c *cell, _ victims) { c.fleet.Platform.SetDown(true) },
-		heal: func(c *cell, _ victims) { c.fleet.Platform.SetDown(false) }, mild: true},
-	{name: "platform-stale", strike: func(c *cell, _ victims) {
+	{name: "platform-down", strike: func(c *cell, _ affected) { c.fleet.Platform.SetDown(true) },
+		heal: func(c *cell, _ affected) { c.fleet.Platform.SetDown(false) }, mild: true},
+	{name: "platform-stale", strike: func(c *cell, _ affected) {
 		c.publish(rtdocument.StateIn)
 		c.wait(time.Second)
 		c.fleet.Platform.SetStale(c.version - 1)
-	}, heal: func(c *cell, _ victims) { c.fleet.Platform.SetStale(0) }, mild: true},
+	}, heal: func(c *cell, _ affected) { c.fleet.Platform.SetStale(0) }, mild: true},
 	{name: "cold-again", strike: turnCold, mild: true},
-	{name: "zone-out", strike: func(c *cell, _ victims) { c.publish(rtdocument.StateOut) },
-		heal: func(c *cell, _ victims) { c.publish(rtdocument.StateIn) }, mild: true, refusal: rtapi.ReasonZone},
-	{name: "operator-race", strike: func(c *cell, _ victims) {
+	{name: "zone-out", strike: func(c *cell, _ affected) { c.publish(rtdocument.StateOut) },
+		heal: func(c *cell, _ affected) { c.publish(rtdocument.StateIn) }, mild: true, refusal: rtapi.ReasonZone},
+	{name: "operator-race", strike: func(c *cell, _ affected) {
 		before := c.document
 		c.publish(rtdocument.StateIn)
 		c.document = before
 		c.publish(rtdocument.StateIn)
 	}, mild: true},
-	{name: "stop-entry", strike: func(c *cell, v victims) { c.stop(v.entry) }, mild: true,
-		heal: func(c *cell, v victims) { c.replace(v.entry) }},
-	{name: "stop-agent", strike: func(c *cell, v victims) { v.each(c.stop) },
-		heal: func(c *cell, v victims) { v.each(c.replace) }, mild: true, refusal: rtapi.ReasonLeaving},
-	{name: "stop-entry+stop-agent", strike: func(c *cell, v victims) {
+	{name: "stop-entry", strike: func(c *cell, v affected) { c.stop(v.entry) }, mild: true,
+		heal: func(c *cell, v affected) { c.replace(v.entry) }},
+	{name: "stop-agent", strike: func(c *cell, v affected) { v.each(c.stop) },
+		heal: func(c *cell, v affected) { v.each(c.replace) }, mild: true, refusal: rtapi.ReasonLeaving},
+	{name: "stop-entry+stop-agent", strike: func(c *cell, v affected) {
 		c.stop(v.entry)
 		v.each(c.stop)
-	}, heal: func(c *cell, v victims) {
+	}, heal: func(c *cell, v affected) {
 		c.replace(v.entry)
 		v.each(c.replace)
 	}, mild: true, refusal: rtapi.ReasonLeaving},
 	{name: "kill-entry+kill-agent", strike: pair(killEntry, killAgents), heal: pair(restartEntry, restartAgents)},
 	{name: "kill-agent+cold-again", strike: pair(killAgents, turnCold), heal: restartAgents},
-	{name: "freeze-agent+zone-out", strike: pair(freezeAgents, func(c *cell, _ victims) { c.publish(rtdocument.StateOut) }),
-		heal: pair(thawAgents, func(c *cell, _ victims) { c.publish(rtdocument.StateIn) })},
-	{name: "platform-down+kill-agent", strike: pair(killAgents, func(c *cell, _ victims) { c.fleet.Platform.SetDown(true) }),
-		heal: pair(restartAgents, func(c *cell, _ victims) { c.fleet.Platform.SetDown(false) })},
-	{name: "freeze-entry-past-limit", strike: pair(freezeEntry, func(c *cell, _ victims) { c.entryLate = true }), heal: thawEntry, length: pastLimit},
+	{name: "freeze-agent+zone-out", strike: pair(freezeAgents, func(c *cell, _ affected) { c.publish(rtdocument.StateOut) }),
+		heal: pair(thawAgents, func(c *cell, _ affected) { c.publish(rtdocument.StateIn) })},
+	{name: "platform-down+kill-agent", strike: pair(killAgents, func(c *cell, _ affected) { c.fleet.Platform.SetDown(true) }),
+		heal: pair(restartAgents, func(c *cell, _ affected) { c.fleet.Platform.SetDown(false) })},
+	{name: "freeze-entry-past-limit", strike: pair(freezeEntry, func(c *cell, _ affected) { c.entryLate = true }), heal: thawEntry, length: pastLimit},
 	{name: "freeze-agent-past-limit", strike: freezeAgents, heal: thawAgents, length: pastLimit},
 	{name: "freeze-target-past-limit", strike: freezeTargets, heal: thawTargets, length: pastLimit},
-	{name: "entry-off-platform", strike: func(c *cell, v victims) { c.fabric.CutBoth(v.entry.Host, platformHost) },
-		heal: func(c *cell, v victims) { c.healAll(v.entry) }, mild: true},
-	{name: "entry-off-agents", strike: cutEntryFromAgents, heal: func(c *cell, v victims) { c.healAll(v.entry) }},
+	{name: "entry-off-platform", strike: func(c *cell, v affected) { c.fabric.CutBoth(v.entry.Host, platformHost) },
+		heal: func(c *cell, v affected) { c.healAll(v.entry) }, mild: true},
+	{name: "entry-off-agents", strike: cutEntryFromAgents, heal: func(c *cell, v affected) { c.healAll(v.entry) }},
 	{name: "agent-off-platform+zone-out", strike: pair(cutAgentsFromPlatform, zoneOut),
 		heal: pair(healAgents, zoneIn), mild: true, refusal: rtapi.ReasonZone},
 	{name: "late-and-doubled-delivery", strike: worsenLinks, heal: restoreLinks},
 	{name: "late-and-doubled-delivery+kill-agent", strike: pair(worsenLinks, killAgents), heal: pair(restoreLinks, restartAgents)},
-	{name: "kill-agent-twice", strike: func(c *cell, v victims) {
+	{name: "kill-agent-twice", strike: func(c *cell, v affected) {
 		killAgents(c, v)
 		restartAgents(c, v)
 		c.wait(time.Second)
 		killAgents(c, v)
 	}, heal: restartAgents},
-	{name: "zone-out+stop-entry", strike: pair(zoneOut, func(c *cell, v victims) { c.stop(v.entry) }),
-		heal: pair(func(c *cell, v victims) { c.replace(v.entry) }, zoneIn), mild: true, refusal: rtapi.ReasonZone},
+	{name: "zone-out+stop-entry", strike: pair(zoneOut, func(c *cell, v affected) { c.stop(v.entry) }),
+		heal: pair(func(c *cell, v affected) { c.replace(v.entry) }, zoneIn), mild: true, refusal: rtapi.ReasonZone},
 	{name: "cut-both+kill-target", strike: pair(cutBoth, crashTargets), heal: healLinks},
 }
 
@@ -190,12 +190,12 @@
 				t.Parallel()
 				runCell(t, nil, func(c *cell) {
 					draft, order := step.reach(c)
-					v := c.victims(draft, order)
+					v := c.affected(draft, order)
 					if fault.strike != nil {
 						fault.strike(c, v)
 					}
 					if draft == nil {
-						draft = c.draft("victim")
+						draft = c.draft("affected")
 					}
 					c.put(order, 1) // a second time through another entry
 					c.wait(max(fault.length, faultLength))
--- a/internal/rtfleet/process.go
+++ b/internal/rtfleet/process.go
@@ -27,17 +27,17 @@
 
 	role    rtplatform.Role
 	metrics string // prefix of metric names
-	create  func(*lifeline, *rtmetric.Metrics) (runner, error)
+	create  func(*killableNetwork, *rtmetric.Metrics) (runner, error)
 	kill    func(host string)
 
-	network *lifeline
+	network *killableNetwork
 	tasks   []*rttask.Task     // all incarnations that were not waited for
 	cancel  context.CancelFunc // of the last incarnation
 }
 
 // start runs a new incarnation of the process.
 func (p *Process) start(ctx context.Context, space Space) error {
-	network := &lifeline{Network: space.Network(p.Host)}
+	network := &killableNetwork{Network: space.Network(p.Host)}
 	metrics, err := rtmetric.New(p.metrics)
 	if err != nil {
 		return err
--- a/internal/rtfleet/space.go
+++ b/internal/rtfleet/space.go
@@ -116,22 +116,22 @@
 // errKilled is what a killed process gets from its network.
 var errKilled = errors.New("process was killed")
 
-// lifeline is the network of one process. After the process was killed it
+// killableNetwork is the network of one process. After the process was killed it
 // opens nothing, so that goroutines that remain have no effect outside.
-type lifeline struct {
+type killableNetwork struct {
 	rtnet.Network
 
 	killed atomic.Bool
 }
 
-func (l *lifeline) Listen(address rtid.Address) (net.Listener, error) {
+func (l *killableNetwork) Listen(address rtid.Address) (net.Listener, error) {
 	if l.killed.Load() {
 		return nil, errKilled
 	}
 	return l.Network.Listen(address)
 }
 
-func (l *lifeline) Dial(ctx context.Context, address rtid.Address) (net.Conn, error) {
+func (l *killableNetwork) Dial(ctx context.Context, address rtid.Address) (net.Conn, error) {
 	if l.killed.Load() {
 		return nil, errKilled
 	}
--- a/internal/rtnode/heartbeat.go
+++ b/internal/rtnode/heartbeat.go
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// chooseTargets recomputes the subset of an entry and the neighbours of an
+// chooseTargets recomputes the subset of an entry and the agents near an
 // agent if the list of VMs has changed, or if agents answer that the list does
 // not name. n.mu is held.
 func (n *Node) chooseTargets(now time.Time) {
@@ -77,7 +77,7 @@
 		n.subset = rtmember.Subset(n.self, candidates, rtmember.SubsetLimit)
 		n.targets = targetsOf(n.subset)
 	case rtplatform.RoleAgent:
-		n.targets = targetsOf(n.neighbours(candidates))
+		n.targets = targetsOf(n.agentsOfOwnKind(candidates))
 	}
 }
 
@@ -92,9 +92,9 @@
 	return n.subset, n.interval, n.listChanged
 }
 
-// neighbours returns the agents of this zone and service, which an agent can
-// ask for memory. They get no heartbeats.
-func (n *Node) neighbours(candidates []rtplatform.Member) []rtplatform.Member {
+// agentsOfOwnKind returns the agents of this zone and service, which an agent
+// can ask for memory. They get no heartbeats.
+func (n *Node) agentsOfOwnKind(candidates []rtplatform.Member) []rtplatform.Member {
 	var near []rtplatform.Member
 	for _, member := range candidates {
 		if member.Role == rtplatform.RoleAgent && member.Zone == n.self.Zone && member.Service == n.self.Service {
