Share the identification of a request between Query and Cancel

Ruled out: joining the run functions of the stand-in and the load tool, which report errors differently, and the two mappings in rtentry, which are alike in shape only. Change: identify takes the message and returns the subject of the call; the naive version has one check. No behaviour changed.

--- a/internal/rtagent/calls.go
+++ b/internal/rtagent/calls.go
@@ -31,44 +31,40 @@
 // a request that was never offered may still run later.
 func (c calls) Query(_ context.Context, message *rtwire.QueryRequest) (*rtwire.QueryReply, error) {
 	a := c.agent
-	id := rtid.Request(message.Request)
-	organisation := rtid.Organisation(message.Organisation)
-	_, answer := a.identify(id, organisation, message.Incarnation)
+	asked, answer := a.identify(message)
 	if answer != nil {
 		return answer, nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	record, ok := a.ledger.Lookup(id)
+	record, ok := a.ledger.Lookup(asked.id)
 	if !ok {
 		return &rtwire.QueryReply{Outcome: rtwire.Outcome_OUTCOME_UNKNOWN, Detail: "no offer with this id has arrived"}, nil
 	}
-	if r := a.requests[id]; r != nil && r.settled && r.kind == rtwire.Kind_KIND_ORDER {
+	if r := a.requests[asked.id]; r != nil && r.settled && r.kind == rtwire.Kind_KIND_ORDER {
 		r.read = true
 	}
-	return describe(record, organisation), nil
+	return describe(record, asked.organisation), nil
 }
 
 // Cancel stops a draft, or prevents a request that has not started.
 func (c calls) Cancel(_ context.Context, message *rtwire.CancelRequest) (*rtwire.QueryReply, error) {
 	a := c.agent
-	id := rtid.Request(message.Request)
-	organisation := rtid.Organisation(message.Organisation)
-	home, answer := a.identify(id, organisation, message.Incarnation)
+	asked, answer := a.identify(message)
 	if answer != nil {
 		return answer, nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	entry := rtledger.Entry{ID: id, Epoch: home.Epoch, Organisation: organisation}
-	if home.Kind == rtid.KindDraft {
+	entry := rtledger.Entry{ID: asked.id, Epoch: asked.home.Epoch, Organisation: asked.organisation}
+	if asked.home.Kind == rtid.KindDraft {
 		entry.Epoch = a.ledger.Epoch(now)
 	}
 	record, verdict := a.ledger.Cancel(entry, now)
 	switch verdict {
 	case rtledger.Fresh, rtledger.Known:
-		return describe(a.cancelled(id, record), organisation), nil
+		return describe(a.cancelled(asked.id, record), asked.organisation), nil
 	case rtledger.Conflict:
 		return notOwned(), nil
 	case rtledger.Full:
@@ -105,37 +101,54 @@
 	return record
 }
 
+// subject is the request that a call asks about.
+type subject struct {
+	id           rtid.Request
+	organisation rtid.Organisation
+	home         rtid.Home
+}
+
+// question is a call about one request.
+type question interface {
+	GetRequest() string
+	GetOrganisation() string
+	GetIncarnation() uint64
+}
+
 // identify answers for ids that this incarnation cannot know. Drafts of an
 // earlier incarnation have failed: their streams were cancelled at the start
 // of this one.
-func (a *Agent) identify(id rtid.Request, organisation rtid.Organisation, meant uint64) (rtid.Home, *rtwire.QueryReply) {
-	home, err := rtid.ParseRequest(id)
+func (a *Agent) identify(asked question) (subject, *rtwire.QueryReply) {
+	found := subject{id: rtid.Request(asked.GetRequest()), organisation: rtid.Organisation(asked.GetOrganisation())}
+	home, err := rtid.ParseRequest(found.id)
 	if err != nil {
-		return home, &rtwire.QueryReply{Reason: rtwire.Reason_REASON_MALFORMED, Detail: err.Error()}
+		return found, &rtwire.QueryReply{Reason: rtwire.Reason_REASON_MALFORMED, Detail: err.Error()}
 	}
+	found.home = home
 	if home.Target != a.settings.Target {
-		return home, &rtwire.QueryReply{Reason: rtwire.Reason_REASON_MALFORMED, Detail: "the id names another target"}
+		return found, &rtwire.QueryReply{Reason: rtwire.Reason_REASON_MALFORMED, Detail: "the id names another target"}
 	}
-	if !home.Owns(organisation) {
-		return home, notOwned()
+	if !home.Owns(found.organisation) {
+		return found, notOwned()
 	}
 	current := a.node.Incarnation()
-	if home.Incarnation == current && (meant == 0 || rtid.Incarnation(meant) == current) {
-		return home, nil
+	meant := rtid.Incarnation(asked.GetIncarnation())
+	if home.Incarnation == current && (meant == 0 || meant == current) {
+		return found, nil
 	}
 	gone := &rtwire.QueryReply{Reason: rtwire.Reason_REASON_INCARNATION, Detail: "the agent has restarted since the id was made"}
 	if home.Kind != rtid.KindDraft {
-		return home, gone
+		return found, gone
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, known := a.ledger.Lookup(id); known {
-		return home, nil
+	if _, known := a.ledger.Lookup(found.id); known {
+		return found, nil
 	}
 	if home.Incarnation < current {
 		gone.Outcome = rtwire.Outcome_OUTCOME_FAILED
 	}
-	return home, gone
+	return found, gone
 }
 
 func notOwned() *rtwire.QueryReply {
--- a/internal/rtagent/restart_test.go
+++ b/internal/rtagent/restart_test.go
@@ -165,7 +165,7 @@
 		kept := agent.draft("kept", 5000, time.Minute)
 		agent.accept(kept)
 		client := rttarget.NewEngine(w.client, address(1, 80))
-		stream, err := client.Generate(w.t.Context(), rttarget.GenerateRequest{ID: "stranger", Prompt: []byte("x"), Output: 100_000, Model: "m"})
+		stream, err := client.Generate(w.t.Context(), rttarget.GenerateRequest{ID: "unowned", Prompt: []byte("x"), Output: 100_000, Model: "m"})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/rtfleet/naive_test.go
+++ b/internal/rtfleet/naive_test.go
@@ -82,18 +82,29 @@
 	return len(n.orders) - 1, true
 }
 
+// closed returns why an organisation cannot use an order, if so.
+func (n *naive) closed(organisation rtid.Organisation, order *naiveOrder) rtapi.Reason {
+	switch {
+	case n.document.Organisation(organisation) == nil:
+		return rtapi.ReasonPlan
+	case order.owner != organisation:
+		return rtapi.ReasonNotFound
+	case order.cancelled:
+		return rtapi.ReasonCancelled
+	default:
+		return rtapi.ReasonNone
+	}
+}
+
 // put runs an order at most once.
 func (n *naive) put(organisation rtid.Organisation, number int, body string) answer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	order := &n.orders[number]
+	if reason := n.closed(organisation, order); reason != rtapi.ReasonNone {
+		return refusedFor(reason)
+	}
 	switch {
-	case n.document.Organisation(organisation) == nil:
-		return refusedFor(rtapi.ReasonPlan)
-	case order.owner != organisation:
-		return refusedFor(rtapi.ReasonNotFound)
-	case order.cancelled:
-		return refusedFor(rtapi.ReasonCancelled)
 	case order.offered && order.body != body:
 		return refusedFor(rtapi.ReasonConflict)
 	case !order.offered:
@@ -108,14 +119,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	order := &n.orders[number]
-	switch {
-	case n.document.Organisation(organisation) == nil:
-		return refusedFor(rtapi.ReasonPlan)
-	case order.owner != organisation:
-		return refusedFor(rtapi.ReasonNotFound)
-	case order.cancelled:
-		return refusedFor(rtapi.ReasonCancelled)
-	case !order.offered:
+	if reason := n.closed(organisation, order); reason != rtapi.ReasonNone {
+		return refusedFor(reason)
+	}
+	if !order.offered {
 		return answer{Outcome: rtapi.Unknown, Reason: rtapi.ReasonNotFound}
 	}
 	return answer{Outcome: rtapi.Done}
--- a/internal/rtfleet/scenario_test.go
+++ b/internal/rtfleet/scenario_test.go
@@ -134,7 +134,7 @@
 			c.t.Errorf("%s still uses %d tokens %v after the restart of its agent", target, used, reconcileBound)
 		}
 	}},
-	{"stranger's hold at an engine", nil, func(c *cell) {
+	{"unowned hold at an engine", nil, func(c *cell) {
 		c.hold("a-engine-1")
 		c.wait(reconcileBound)
 		if used := c.fleet.Engines["a-engine-1"].Stats().Used; used != 0 {
