Add the direct path from a gateway to targets

Cause: rtentry needs an agent beside each target and a published document; the users' platform has plain services without such a VM, and a store of items with one revision counter.

rtcatalog holds what is published, rtfeed keeps it current from the store or peers, rtplacement chooses engines, rtexchange carries one request, rtgateway is the pipeline, rtpeer the digests between gateways.

--- /dev/null
+++ b/internal/rtfeed/feed.go
@@ -0,0 +1,297 @@
+// Package rtfeed keeps a process up to date with what operators and targets
+// publish: from the platform's store, or from peers that know more.
+//
+// The state is a set of items with one revision counter, so that what comes
+// from any source can be compared and nothing goes back.
+package rtfeed
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+)
+
+// Item is one published value.
+type Item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"` // of its last change
+}
+
+// Change is an item as it was written, or its removal.
+type Change struct {
+	Item
+	Removed bool
+}
+
+// Errors of a Source.
+var (
+	// ErrHistory says that the changes asked for are no longer kept.
+	ErrHistory = errors.New("history is no longer kept")
+	// ErrBusy says that the source refused the call and did nothing.
+	ErrBusy = errors.New("source is busy")
+)
+
+// Source is the platform's store. Each method is one exchange.
+type Source interface {
+	// Page returns the items after a key and the revision of the answer.
+	Page(ctx context.Context, after string) (items []Item, more bool, revision uint64, err error)
+	// Watch returns the changes after a revision, at the latest after wait.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change, revision uint64, err error)
+}
+
+// Decoder makes a view of items. It logs items that it cannot read.
+type Decoder interface {
+	// Perishable reports whether an item vanishes by itself while its owner
+	// cannot reach the store.
+	Perishable(key string) bool
+	View(state State, previous *rtcatalog.View) *rtcatalog.View
+}
+
+const (
+	// watchWait bounds one watch, so that a connection that has gone silent is
+	// noticed before a change is overdue (2 s in the published bounds).
+	watchWait = 1500 * time.Millisecond
+	// callSlack is the time of a call beyond its wait.
+	callSlack = 500 * time.Millisecond
+	// pageTimeout bounds the read of one page.
+	pageTimeout = 2 * time.Second
+	// pace is the least time between two watches: changes that come in quick
+	// succession share a call.
+	pace = 250 * time.Millisecond
+	// The pause after a failed call grows from firstPause to lastPause.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 500 * time.Millisecond
+	// outage is the silence of the store after which removals are doubted.
+	outage = 1 * time.Second
+	// returnTime is how long after its return the store may lack targets that
+	// live (platform: about 2 s).
+	returnTime = 2200 * time.Millisecond
+)
+
+// Feed keeps the state of one process. Create it with New.
+type Feed struct {
+	source  Source
+	decoder Decoder
+	log     logr.Logger
+	view    atomic.Pointer[rtcatalog.View]
+	changed chan struct{} // receives after each new view; capacity 1
+
+	mu       sync.Mutex
+	state    State
+	contact  time.Time // last answer of the store
+	failing  bool      // a call has failed since contact
+	returned time.Time // first answer after an outage
+	doubted  map[string]uint64
+}
+
+// New returns a feed that knows nothing.
+func New(source Source, decoder Decoder, log logr.Logger) *Feed {
+	return &Feed{
+		source:  source,
+		decoder: decoder,
+		log:     log.WithName("feed"),
+		changed: make(chan struct{}, 1),
+		doubted: make(map[string]uint64),
+	}
+}
+
+// View returns what is known now. It is nil until something is known.
+func (f *Feed) View() *rtcatalog.View { return f.view.Load() }
+
+// Changed receives after a new view, at least once for several.
+func (f *Feed) Changed() <-chan struct{} { return f.changed }
+
+// Contact returns when the store answered last.
+func (f *Feed) Contact() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact
+}
+
+// State returns a copy of the state for a peer.
+func (f *Feed) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Clone()
+}
+
+// Adopt takes the state of a peer if it is newer.
+func (f *Feed) Adopt(state State, peer string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if state.Revision <= f.state.Revision {
+		return false
+	}
+	f.log.Info("Adopted the state of a peer.", "peer", peer, "from", f.state.Revision, "to", state.Revision)
+	f.state = state.Clone()
+	clear(f.doubted)
+	f.publish()
+	return true
+}
+
+// Run follows the store until the context ends.
+func (f *Feed) Run(ctx context.Context) error {
+	pause := firstPause
+	complete := false // the state holds a full read, which watches can go on from
+	for ctx.Err() == nil {
+		started := time.Now()
+		var err error
+		if complete {
+			err = f.watch(ctx)
+		} else {
+			err = f.read(ctx)
+		}
+		switch {
+		case err == nil:
+			complete = true
+			pause = firstPause
+			sleep(ctx, pace-time.Since(started))
+		case errors.Is(err, ErrHistory):
+			f.log.Info("History of the store is gone, reading all.", "revision", f.Revision())
+			complete = false
+		default:
+			f.lost(err)
+			sleep(ctx, pause)
+			pause = min(lastPause, 2*pause)
+		}
+		f.settle(time.Now())
+	}
+	return nil
+}
+
+// read replaces the state by all items of the store.
+func (f *Feed) read(ctx context.Context) error {
+	var all []Item
+	var first uint64
+	after := ""
+	for {
+		call, cancel := context.WithTimeout(ctx, pageTimeout)
+		items, more, revision, err := f.source.Page(call, after)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if first == 0 {
+			// Pages are not a snapshot: watching from the first one repeats
+			// what changed while the others were read.
+			first = revision
+		}
+		all = append(all, items...)
+		if !more || len(items) == 0 {
+			break
+		}
+		after = items[len(items)-1].Key
+	}
+	f.heard()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.merge(f.state.Difference(all, first), first)
+	return nil
+}
+
+// watch waits for changes once.
+func (f *Feed) watch(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, watchWait+callSlack)
+	defer cancel()
+	changes, revision, err := f.source.Watch(call, f.Revision(), watchWait)
+	if err != nil {
+		return err
+	}
+	f.heard()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.merge(changes, revision)
+	return nil
+}
+
+// merge applies changes. The caller holds mu.
+func (f *Feed) merge(changes []Change, revision uint64) {
+	changed := false
+	doubt := time.Since(f.returned) < returnTime
+	for _, change := range changes {
+		if change.Removed && doubt && f.state.Has(change.Key) && f.decoder.Perishable(change.Key) {
+			f.doubted[change.Key] = change.Revision
+			continue
+		}
+		delete(f.doubted, change.Key)
+		changed = f.state.Apply(change) || changed
+	}
+	f.state.Revision = max(f.state.Revision, revision)
+	if changed || f.view.Load() == nil {
+		f.publish()
+	}
+}
+
+// settle removes doubted items once the store has had the time to show them
+// again.
+func (f *Feed) settle(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.doubted) == 0 || now.Sub(f.returned) < returnTime || now.Sub(f.contact) > outage {
+		return
+	}
+	for key, revision := range f.doubted {
+		f.log.Info("Target has not come back with the store.", "key", key, "revision", revision)
+		f.state.Apply(Change{Item: Item{Key: key, Revision: revision}, Removed: true})
+	}
+	clear(f.doubted)
+	f.publish()
+}
+
+// publish makes a new view. The caller holds mu.
+func (f *Feed) publish() {
+	f.view.Store(f.decoder.View(f.state, f.view.Load()))
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// heard records an answer of the store.
+func (f *Feed) heard() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.failing && !f.contact.IsZero() && now.Sub(f.contact) > outage {
+		f.returned = now
+		f.log.Info("Store answers again.", "silence", now.Sub(f.contact).String(), "revision", f.state.Revision)
+	}
+	f.contact, f.failing = now, false
+}
+
+// lost logs the first failed call of an outage.
+func (f *Feed) lost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing {
+		f.log.Info("Store lost.", "error", err.Error(), "revision", f.state.Revision)
+	}
+	f.failing = true
+}
+
+// Revision returns the revision up to which all changes are known.
+func (f *Feed) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Revision
+}
+
+// sleep waits for d or the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/rtgateway/choose.go
@@ -0,0 +1,164 @@
+package rtgateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
+)
+
+// suspicion is a target that failed, and until when it is avoided.
+type suspicion struct {
+	until    time.Time
+	failures int
+}
+
+const (
+	// firstSuspicion and lastSuspicion bound how long a target is avoided after
+	// failures in a row; it doubles in between.
+	firstSuspicion = 300 * time.Millisecond
+	lastSuspicion  = 4 * time.Second
+	// zoneDelay is what a target in another availability zone costs, there and
+	// back (brief: a few milliseconds one way).
+	zoneDelay = 10 * time.Millisecond
+	// coldMargin is the part of the bound on a cold target that processes use
+	// together.
+	coldMargin = 0.8
+	// tellPart is a read that other processes should know of before their next
+	// placement: longer than the pause of one pass.
+	tellPart = 60 * time.Millisecond
+)
+
+// choose returns where to send a request. It reports false if no target may
+// take it now. The flight must be ended by the caller.
+func (g *Gateway) choose(q *request, tried []rtid.Target) (rtplacement.Choice, *rtplacement.Flight, bool) {
+	view := g.views.View()
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	candidates := g.candidates(view, q.service, tried, now)
+	var choice rtplacement.Choice
+	var ok bool
+	if q.service.Engine != nil {
+		choice, ok = rtplacement.Engine(q.service.Engine, q.work, candidates)
+	} else {
+		choice, ok = rtplacement.Plain(candidates)
+	}
+	if !ok {
+		return choice, nil, false
+	}
+	g.startsOf(choice.Target.ID).Add(now)
+	if choice.Part >= tellPart {
+		g.placed()
+	}
+	return choice, g.book.Begin(choice, q.work, now), true
+}
+
+// candidates returns the targets that may take a request. Targets under
+// suspicion are used only where there is no other. The caller holds mu.
+func (g *Gateway) candidates(view *rtcatalog.View, service *rtcatalog.Service, tried []rtid.Target,
+	now time.Time) []rtplacement.Candidate {
+	var trusted, doubted []rtplacement.Candidate
+	for _, instance := range view.Instances(service.Name) {
+		if !view.Usable(instance) || slices.Contains(tried, instance.ID) || !g.withinRate(service, instance, now) {
+			continue
+		}
+		candidate := rtplacement.Candidate{
+			Instance: instance,
+			Load:     g.book.Load(instance.ID, now),
+			Rank:     g.rank(instance.ID),
+		}
+		if instance.Zone != g.settings.Zone {
+			candidate.Away = zoneDelay
+		}
+		if now.Before(g.suspects[instance.ID].until) {
+			doubted = append(doubted, candidate)
+		} else {
+			trusted = append(trusted, candidate)
+		}
+	}
+	if len(trusted) == 0 {
+		return doubted
+	}
+	return trusted
+}
+
+// withinRate reports whether one more request is within this process's part
+// of what a cold target bears. It holds for every target, because a warm one
+// may turn cold at any moment. The caller holds mu.
+func (g *Gateway) withinRate(service *rtcatalog.Service, instance *rtcatalog.Instance, now time.Time) bool {
+	if service.ColdRate <= 0 {
+		return true
+	}
+	whole := coldMargin * (service.ColdRate*g.bounds.ColdFactor + g.bounds.ColdSlack)
+	part := max(1, int(whole/float64(max(1, g.peers()))))
+	return g.startsOf(instance.ID).Count(now) < part
+}
+
+// startsOf returns the recent sends to a target. The caller holds mu.
+func (g *Gateway) startsOf(target rtid.Target) *rtlimit.Window {
+	window := g.starts[target]
+	if window == nil {
+		window = &rtlimit.Window{Span: time.Second}
+		g.starts[target] = window
+	}
+	return window
+}
+
+// suspect avoids a target for a while.
+func (g *Gateway) suspect(target rtid.Target, reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	s := g.suspects[target]
+	s.failures++
+	pause := firstSuspicion << min(s.failures-1, 4)
+	s.until = now.Add(min(pause, lastSuspicion))
+	g.suspects[target] = s
+	g.log.Info("Target avoided.", "target", target, "reason", reason, "failures", s.failures, "for", s.until.Sub(now).String())
+}
+
+// hear records that a target has answered.
+func (g *Gateway) hear(target rtid.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.heard[target] = time.Now()
+	delete(g.suspects, target)
+}
+
+// heardSince reports whether a target has sent anything since t.
+func (g *Gateway) heardSince(target rtid.Target, t time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.heard[target].After(t)
+}
+
+// countRequest counts a request for the retry budget of its service.
+func (g *Gateway) countRequest(service rtid.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryShare(service).Request(time.Now())
+}
+
+// takeRetry reports whether one more send of a request is within the budget.
+func (g *Gateway) takeRetry(service rtid.Service) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	share := g.retryShare(service)
+	share.Processes = g.peers()
+	return share.Take(time.Now())
+}
+
+// retryShare returns the retry budget of a service. The caller holds mu.
+func (g *Gateway) retryShare(service rtid.Service) *rtlimit.RetryShare {
+	share := g.retries[service]
+	if share == nil {
+		share = &rtlimit.RetryShare{Ratio: g.bounds.RetryRatio, Allowance: g.bounds.RetryAllowance}
+		share.Start(g.bounds.RetryWindow)
+		g.retries[service] = share
+	}
+	return share
+}
--- /dev/null
+++ b/internal/rtgateway/stages.go
@@ -0,0 +1,113 @@
+package rtgateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
+)
+
+// stages are the checks before a target is chosen, in order.
+var stages = []func(*Gateway, *request) *refusal{
+	(*Gateway).checkKnown,
+	(*Gateway).identify,
+	(*Gateway).checkSize,
+	(*Gateway).classify,
+	(*Gateway).readBody,
+}
+
+// comeBack is when to ask a process again that has just started.
+const comeBack = 300 * time.Millisecond
+
+// checkKnown refuses requests while nothing is known to serve them by.
+func (g *Gateway) checkKnown(q *request) *refusal {
+	if q.view == nil || q.view.Configuration == nil {
+		return notRun("no configuration yet", comeBack)
+	}
+	return nil
+}
+
+// identify finds the route and the organisation.
+func (g *Gateway) identify(q *request) *refusal {
+	configuration := q.view.Configuration
+	q.route = configuration.Route(q.r.Host, path(q.r))
+	if q.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	if q.facts.ID == "" {
+		return &refusal{status: http.StatusBadRequest, reason: "no request id"}
+	}
+	if !q.route.Public {
+		q.organisation = configuration.Organisation(q.facts.Key)
+		if q.organisation == nil {
+			return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+		}
+	}
+	q.service = configuration.Service(pick(q.route))
+	if q.service == nil {
+		return notRun("service is not published", comeBack)
+	}
+	return nil
+}
+
+// checkSize refuses bodies that are announced longer than the limit.
+func (g *Gateway) checkSize(q *request) *refusal {
+	limit := q.view.Configuration.Limits.Body
+	if limit > 0 && q.r.ContentLength > int64(limit) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	return nil
+}
+
+// classify sets the deadline and the work.
+func (g *Gateway) classify(q *request) *refusal {
+	wait := q.facts.Remaining
+	if q.route.Timeout > 0 && (wait <= 0 || q.route.Timeout < wait) {
+		wait = q.route.Timeout
+	}
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	q.deadline = q.arrived.Add(wait)
+	q.work = rtplacement.Work{
+		Prompt: q.facts.Prompt,
+		Output: q.facts.Output,
+		Aim:    q.route.Aim,
+		Gap:    q.route.Gap,
+	}
+	q.work.Patience = min(wait, q.route.Patience())
+	return nil
+}
+
+const (
+	// defaultWait bounds a request that names no bound itself.
+	defaultWait = 30 * time.Second
+	// maxBody bounds bodies where the configuration does not.
+	maxBody = 16 << 20
+)
+
+// readBody reads the whole body, so that it can be sent once more.
+func (g *Gateway) readBody(q *request) *refusal {
+	if q.r.ContentLength == 0 {
+		return nil
+	}
+	limit := int64(q.view.Configuration.Limits.Body)
+	if limit <= 0 {
+		limit = maxBody
+	}
+	control := http.NewResponseController(q.w)
+	// The connection may not support deadlines, as in tests; the server's own
+	// bounds hold then.
+	_ = control.SetReadDeadline(q.deadline)
+	body, err := io.ReadAll(io.LimitReader(q.r.Body, limit+1))
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
+	case int64(len(body)) > limit:
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	q.body = body
+	return nil
+}
--- a/internal/rtnet/net.go
+++ b/internal/rtnet/net.go
@@ -23,9 +23,14 @@
 	dialer net.Dialer
 }
 
+// keepAlive notices a peer that has gone silent without a reset: after 3 s
+// without any sign of it. The kernel counts in whole seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // Listen opens a TCP listener.
 func (t *TCP) Listen(address rtid.Address) (net.Listener, error) {
-	listener, err := net.Listen("tcp", string(address))
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	listener, err := config.Listen(context.Background(), "tcp", string(address))
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -34,7 +39,9 @@
 
 // Dial opens a TCP connection.
 func (t *TCP) Dial(ctx context.Context, address rtid.Address) (net.Conn, error) {
-	return t.dialer.DialContext(ctx, "tcp", string(address))
+	dialer := t.dialer
+	dialer.KeepAliveConfig = keepAlive
+	return dialer.DialContext(ctx, "tcp", string(address))
 }
 
 // Timeouts of the HTTP client between processes.
