--- a/internal/rtprogram/program.go
+++ b/internal/rtprogram/program.go
@@ -55,7 +55,8 @@
 	metrics string // prefix of metric names
 	read    func(path string) (S, rtfinding.List)
 	level   func(S) string
-	create  func(S, logr.Logger, *rtmetric.Metrics) (runner, error)
+	logs    func(stderr io.Writer) io.Writer // nil for stderr itself
+	create  func(path string, settings S, log logr.Logger, metrics *rtmetric.Metrics) (runner, error)
 }
 
 // Entry runs rhubarbtally-entry and returns its exit status.
@@ -66,7 +67,7 @@
 		metrics: "rhubarbtally_entry",
 		read:    rtsettings.ReadEntry,
 		level:   func(settings rtsettings.Entry) string { return settings.Level },
-		create: func(settings rtsettings.Entry, log logr.Logger, metrics *rtmetric.Metrics) (runner, error) {
+		create: func(_ string, settings rtsettings.Entry, log logr.Logger, metrics *rtmetric.Metrics) (runner, error) {
 			return rtentry.New(settings, rtentry.Dependencies{Network: &rtnet.TCP{}, Log: log, Metrics: metrics})
 		},
 	}.run(args, stdout, stderr)
@@ -80,7 +81,7 @@
 		metrics: "rhubarbtally_agent",
 		read:    rtsettings.ReadAgent,
 		level:   func(settings rtsettings.Agent) string { return settings.Level },
-		create: func(settings rtsettings.Agent, log logr.Logger, metrics *rtmetric.Metrics) (runner, error) {
+		create: func(_ string, settings rtsettings.Agent, log logr.Logger, metrics *rtmetric.Metrics) (runner, error) {
 			return rtagent.New(settings, rtagent.Dependencies{Network: &rtnet.TCP{}, Log: log, Metrics: metrics}), nil
 		},
 	}.run(args, stdout, stderr)
@@ -105,7 +106,7 @@
 	if findings.Err() != nil {
 		return exitSettings
 	}
-	if err := p.serve(settings, stderr); err != nil {
+	if err := p.serve(path, settings, stderr); err != nil {
 		_, _ = fmt.Fprintf(stderr, "%s: %v\n", p.name, err)
 		return exitFailed
 	}
@@ -131,10 +132,14 @@
 
 // serve runs the process until a signal. The handler stays installed, so that
 // a second signal does not end the process before its requests.
-func (p program[S]) serve(settings S, stderr io.Writer) (err error) {
+func (p program[S]) serve(path string, settings S, stderr io.Writer) (err error) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log, err := rtlog.New(stderr, p.level(settings))
+	output := stderr
+	if p.logs != nil {
+		output = p.logs(stderr)
+	}
+	log, err := rtlog.New(output, p.level(settings))
 	if err != nil {
 		return err
 	}
@@ -143,7 +148,7 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, metrics.Close()) }()
-	runner, err := p.create(settings, log, metrics)
+	runner, err := p.create(path, settings, log, metrics)
 	if err != nil {
 		return err
 	}
