Set memory aside for prompts larger than an engine, pool the engines

Cause: prompts over an engine's memory were refused by the target at once and again when they came back. Long parts beside short requests stretched their pauses past the bound.

--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -14,6 +14,7 @@
 type suspicion struct {
 	until    time.Time
 	failures int
+	firm     bool // answers do not end it
 }
 
 const (
@@ -21,6 +22,9 @@
 	// failures in a row; it doubles in between.
 	firstSuspicion = 300 * time.Millisecond
 	lastSuspicion  = 4 * time.Second
+	// leavingTime is how long a target is avoided that refuses to help others:
+	// it leaves and is served out, which the store shows a little later.
+	leavingTime = 3 * time.Second
 	// zoneDelay is what a target in another availability zone costs, there and
 	// back (brief: a few milliseconds one way).
 	zoneDelay = 10 * time.Millisecond
@@ -43,7 +47,12 @@
 	var choice rtplacement.Choice
 	var ok bool
 	if q.service.Engine != nil {
-		choice, ok = rtplacement.Engine(q.service.Engine, q.work, candidates)
+		writers := 0
+		for i := range candidates {
+			writers += candidates[i].Load.Writers
+		}
+		tight := g.poolsOf(q.service.Name).Tight(len(candidates), writers, now)
+		choice, ok = rtplacement.Engine(q.service.Engine, q.work, candidates, tight)
 	} else {
 		choice, ok = rtplacement.Plain(candidates)
 	}
@@ -69,7 +78,8 @@
 		candidate := rtplacement.Candidate{
 			Instance: instance,
 			Load:     g.book.Load(instance.ID, now),
-			Rank:     g.rank(instance.ID),
+			Order:    hash("", instance.ID),
+			Rank:     hash(g.settings.VM, instance.ID),
 		}
 		if instance.Zone != g.settings.Zone {
 			candidate.Away = zoneDelay
@@ -98,6 +108,16 @@
 	return g.startsOf(instance.ID).Count(now) < part
 }
 
+// poolsOf returns the pools of a service. The caller holds mu.
+func (g *Gateway) poolsOf(service rtid.Service) *rtplacement.Pools {
+	pools := g.pools[service]
+	if pools == nil {
+		pools = &rtplacement.Pools{}
+		g.pools[service] = pools
+	}
+	return pools
+}
+
 // startsOf returns the recent sends to a target. The caller holds mu.
 func (g *Gateway) startsOf(target rtid.Target) *rtlimit.Window {
 	window := g.starts[target]
@@ -121,12 +141,35 @@
 	g.log.Info("Target avoided.", "target", target, "reason", reason, "failures", s.failures, "for", s.until.Sub(now).String())
 }
 
+// blame avoids the helper that a target has named as the reason of its refusal,
+// by id or address. It reports false if no helper is named.
+func (g *Gateway) blame(fault string, choice rtplacement.Choice) bool {
+	for _, helper := range choice.Helpers {
+		if fault != "" && (fault == string(helper.ID) || fault == string(helper.Address)) {
+			g.suspectFor(helper.ID, leavingTime, "refuses to help")
+			return true
+		}
+	}
+	return false
+}
+
+// suspectFor avoids a target for a given time, whatever it answers meanwhile.
+func (g *Gateway) suspectFor(target rtid.Target, d time.Duration, reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspects[target] = suspicion{until: time.Now().Add(d), failures: 1, firm: true}
+	g.log.Info("Target avoided.", "target", target, "reason", reason, "for", d.String())
+}
+
 // hear records that a target has answered.
 func (g *Gateway) hear(target rtid.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.heard[target] = time.Now()
-	delete(g.suspects, target)
+	now := time.Now()
+	g.heard[target] = now
+	if s := g.suspects[target]; !s.firm || now.After(s.until) {
+		delete(g.suspects, target)
+	}
 }
 
 // heardSince reports whether a target has sent anything since t.
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -20,6 +21,8 @@
 	verdictNotSent                   // not sent
 	verdictNotRun                    // not run
 	verdictElsewhere                 // another target has the address
+	verdictHelper                    // a helper refused
+	verdictMemory                    // no memory
 	verdictFailed                    // failed
 	verdictDone                      // done
 	verdictCallerGone                // caller gone
@@ -48,7 +51,8 @@
 	request *request
 
 	tried     []rtid.Target
-	sends     int         // that may have reached a target, at most the route's attempts
+	sends     int         // targets that may have got the request, at most the route's attempts
+	helped    int         // refusals because of a helper
 	uncertain bool        // a send may have run, so that no refusal may promise otherwise
 	kept      *keptAnswer // of an earlier send
 	started   bool        // the head of the answer is written
@@ -58,6 +62,8 @@
 const (
 	// maxUnsent bounds targets that could not be reached for one request.
 	maxUnsent = 4
+	// maxHelped bounds sends of one request that a helper refused.
+	maxHelped = 4
 	// shedPause is when room is expected at targets that had none: a few
 	// passes of an engine.
 	shedPause = 400 * time.Millisecond
@@ -114,6 +120,16 @@
 			return false, nil
 		}
 		return true, d.giveUp("targets have changed")
+	case verdictHelper:
+		d.helped++
+		// The target itself is not at fault and may be asked again.
+		d.tried = d.tried[:len(d.tried)-1]
+		if ctx.Err() == nil && d.helped < maxHelped && d.gateway.takeRetry(d.request.service.Name) {
+			return false, nil
+		}
+		return true, d.giveUp("helpers refuse")
+	case verdictMemory:
+		return true, d.giveUp("no memory for the prompt")
 	case verdictNotRun:
 		d.sends++
 	case verdictFailed:
@@ -160,7 +176,8 @@
 // log writes the line of one send.
 func (d *delivery) log(choice rtplacement.Choice, found result, sent time.Time) {
 	d.gateway.log.Info("Sent.", "request", d.request.facts.ID, "route", d.request.route.Name,
-		"target", choice.Target.ID, "helpers", len(choice.Helpers), "predicted", choice.First.String(),
+		"target", choice.Target.ID, "prompt", d.request.work.Prompt,
+		"helpers", len(choice.Helpers), "predicted", choice.First.String(),
 		"outcome", found.verdict.String(), "detail", found.detail, "revision", d.request.view.Revision,
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String())
 	tags := map[string]string{"outcome": found.verdict.String()}
@@ -176,7 +193,15 @@
 	defer cancel(nil)
 	watch := d.watchSilence(choice.Target.ID, cancel)
 	defer watch.stop()
-	answer, err := rtexchange.Send(ctx, d.gateway.network, choice.Target.Address, d.message(choice))
+	reserved, err := d.reserve(ctx, choice)
+	if err != nil {
+		return result{verdict: verdictMemory, detail: err.Error()}
+	}
+	defer d.release(reserved)
+	if renewal := d.renew(reserved); renewal != nil {
+		defer func() { _ = renewal.Stop() }() // it reports its errors itself
+	}
+	answer, err := rtexchange.Send(ctx, d.gateway.network, choice.Target.Address, d.message(choice, reserved))
 	if err != nil {
 		return d.failure(ctx, choice.Target, err)
 	}
@@ -186,11 +211,13 @@
 	switch {
 	case reply.Request != d.request.facts.ID && !reply.NotRun:
 		return result{verdict: verdictLost, detail: "answer belongs to another request"}
-	case reply.NotRun && answer.Status == http.StatusMisdirectedRequest && reply.Fault == "":
+	case reply.NotRun && d.gateway.blame(reply.Fault, choice):
+		return result{verdict: verdictHelper, detail: "refused because of helper " + reply.Fault}
+	case reply.NotRun && answer.Status == http.StatusMisdirectedRequest:
 		d.gateway.suspect(choice.Target.ID, "another target has the address")
 		return result{verdict: verdictElsewhere, detail: "another target has the address"}
 	case reply.NotRun:
-		return result{verdict: verdictNotRun, detail: "refused by the target with " + http.StatusText(answer.Status)}
+		return result{verdict: verdictNotRun, detail: fmt.Sprintf("refused with %d, at fault %q", answer.Status, reply.Fault)}
 	case !reply.Stamped, answer.Header.Get("Content-Encoding") != "":
 		return result{verdict: verdictLost, detail: "answer is not the target's own"}
 	}
@@ -222,7 +249,7 @@
 }
 
 // message returns the request as the target gets it.
-func (d *delivery) message(choice rtplacement.Choice) *rtexchange.Message {
+func (d *delivery) message(choice rtplacement.Choice, reserved []*reservation) *rtexchange.Message {
 	q := d.request
 	header := rtexchange.EndToEnd(q.r.Header)
 	send := Send{
@@ -230,13 +257,11 @@
 		Remaining: time.Until(q.deadline),
 		Priority:  q.priority(),
 		LastEvent: d.lastEvent,
+		Helpers:   helpersOf(choice, reserved),
 	}
 	if q.organisation != nil {
 		send.Organisation = q.organisation.Name
 	}
-	for _, helper := range choice.Helpers {
-		send.Helpers = append(send.Helpers, Helper{Address: helper.Address})
-	}
 	d.gateway.dialect.Outgoing(header, send)
 	return &rtexchange.Message{
 		Method: q.r.Method,
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -67,9 +67,12 @@
 	placed   func()
 	leaving  atomic.Bool // never goes back to false
 
+	background background
+
 	mu       sync.Mutex
 	bounds   Bounds
 	book     rtplacement.Book
+	pools    map[rtid.Service]*rtplacement.Pools
 	retries  map[rtid.Service]*rtlimit.RetryShare
 	starts   map[rtid.Target]*rtlimit.Window // sends of the last second
 	suspects map[rtid.Target]suspicion
@@ -88,6 +91,7 @@
 		peers:    dependencies.Peers,
 		placed:   dependencies.Placed,
 		bounds:   settings.Bounds,
+		pools:    make(map[rtid.Service]*rtplacement.Pools),
 		retries:  make(map[rtid.Service]*rtlimit.RetryShare),
 		starts:   make(map[rtid.Target]*rtlimit.Window),
 		suspects: make(map[rtid.Target]suspicion),
@@ -153,12 +157,14 @@
 	return view.Configuration.Version
 }
 
-// rank orders equal targets differently in each process.
-func (g *Gateway) rank(target rtid.Target) uint32 {
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(g.settings.VM)) // never fails
-	_, _ = hash.Write([]byte(target))
-	return hash.Sum32()
+// hash orders targets: alike in all processes for no VM, differently in each
+// process for its own.
+func hash(vm rtid.VM, target rtid.Target) uint32 {
+	sum := fnv.New32a()
+	// Writing to a hash never fails.
+	_, _ = sum.Write([]byte(vm))
+	_, _ = sum.Write([]byte(target))
+	return sum.Sum32()
 }
 
 // pick chooses one of a route's services by weight.
--- a/internal/rtgateway/request.go
+++ b/internal/rtgateway/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 )
@@ -44,7 +45,7 @@
 	Request rtid.Request // that the response belongs to
 	Stamped bool         // the target made the response
 	NotRun  bool         // the target has not run the request and will not
-	Fault   string       // id or address of the target at fault, if another one is
+	Fault   string       // id or address of the target at fault; empty if it is not named
 }
 
 // Dialect reads and writes the headers of callers and targets.
@@ -53,6 +54,10 @@
 	// Outgoing turns a caller's headers into those of a send.
 	Outgoing(header http.Header, send Send)
 	Reply(status int, header http.Header) Reply
+	// Reserve and Release return the orders that set memory aside at an engine
+	// and give it back.
+	Reserve(target rtid.Target, ticket string, tokens rtid.Tokens, hold time.Duration) *rtexchange.Message
+	Release(target rtid.Target, ticket string) *rtexchange.Message
 }
 
 // request is one caller's request on its way through the stages.
--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -68,7 +68,7 @@
 			err = errors.Join(err, ended)
 		}
 	}
-	return err
+	return errors.Join(err, g.background.wait())
 }
 
 // drain takes the process out of service and waits for running requests.
--- a/internal/rtgateway/verdict_string.go
+++ b/internal/rtgateway/verdict_string.go
@@ -12,15 +12,17 @@
 	_ = x[verdictNotSent-1]
 	_ = x[verdictNotRun-2]
 	_ = x[verdictElsewhere-3]
-	_ = x[verdictFailed-4]
-	_ = x[verdictDone-5]
-	_ = x[verdictCallerGone-6]
-	_ = x[verdictExpired-7]
+	_ = x[verdictHelper-4]
+	_ = x[verdictMemory-5]
+	_ = x[verdictFailed-6]
+	_ = x[verdictDone-7]
+	_ = x[verdictCallerGone-8]
+	_ = x[verdictExpired-9]
 }
 
-const _verdict_name = "lostnot sentnot runanother target has the addressfaileddonecaller goneexpired"
+const _verdict_name = "lostnot sentnot runanother target has the addressa helper refusedno memoryfaileddonecaller goneexpired"
 
-var _verdict_index = [...]uint8{0, 4, 12, 19, 49, 55, 59, 70, 77}
+var _verdict_index = [...]uint8{0, 4, 12, 19, 49, 65, 74, 80, 84, 95, 102}
 
 func (i verdict) String() string {
 	idx := int(i) - 0
--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -14,6 +14,7 @@
 	Instance *rtcatalog.Instance
 	Load     Load
 	Away     time.Duration // there and back
+	Order    uint32        // the same in all processes
 	Rank     uint32        // breaks ties; differs between processes
 }
 
@@ -28,126 +29,94 @@
 const (
 	// maxHelpers is the most that a target takes (platform).
 	maxHelpers = 16
-	// tightGap is the bound on pauses below which a writer counts as harmed by
-	// long passes.
+	// tightGap is the bound on pauses below which a request counts as tight.
 	tightGap = 300 * time.Millisecond
-	// passBound is the longest pass that tight writers bear: their bound of
-	// 250 ms less the delay and jitter of the way.
-	passBound = 220 * time.Millisecond
-	// smallRead is a read that is not worth splitting.
-	smallRead = 60 * time.Millisecond
-	// aimShare is the part of the aim that a prediction may use up; the rest
-	// covers what other processes send meanwhile.
-	aimShare = 0.8
+	// tightPart and longPart are the reads that one engine gets in one pass.
+	// With a pass of 50 ms they stay below the bound on pauses of tight requests
+	// (250 ms) even when two or three meet.
+	tightPart = 60 * time.Millisecond
+	longPart  = 100 * time.Millisecond
 	// slotWait is the expected wait for each request beyond the slots.
 	slotWait = 100 * time.Millisecond
+	// otherPool is the wait that equals the use of an engine of the other pool.
+	otherPool = 150 * time.Millisecond
+	// writerWait is the wait that equals one more request at an engine: what it
+	// adds to each pass, over the usual number of passes of an answer.
+	writerWait = 4 * time.Millisecond
 )
 
-// Value weighs a request against others: callers pay about in proportion to
-// the length of the prompt, with a base for the answer.
-func Value(prompt rtid.Tokens) float64 { return 1 + 0.13*float64(prompt)/1000 }
-
 // Tight reports whether pauses of the work are bounded tightly.
 func (w Work) Tight() bool { return w.Gap > 0 && w.Gap <= tightGap }
 
-// Engine chooses the engines of a request so that it is in time with the least
-// harm to the requests that write there. It answers the load that swings
-// between short and long prompts: long prompts gather where few short ones
-// write, in parts small enough for the pauses of those, and short prompts
-// avoid engines that read. It reports false without a candidate.
-func Engine(engine *rtcatalog.Engine, work Work, candidates []Candidate) (Choice, bool) {
+// Engine chooses the engines of a request. Tight counts the engines, by Order,
+// that are for tight requests. It reports false without a candidate.
+func Engine(engine *rtcatalog.Engine, work Work, candidates []Candidate, tight int) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	order := slices.Clone(candidates)
-	slices.SortFunc(order, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(badness(engine, work, a), badness(engine, work, b)), cmp.Compare(a.Rank, b.Rank))
-	})
-	most := min(len(order), 1+maxHelpers)
-	if ReadTime(engine, work.Prompt, 1) <= smallRead {
-		most = 1
+	slices.SortFunc(order, func(a, b Candidate) int { return cmp.Compare(a.Order, b.Order) })
+	tight = min(tight, len(order))
+	if work.Tight() {
+		return choose(engine, work, order, tight, tightPart), true
 	}
-	var best Choice
-	bestCost := 0.0
-	for parts := 1; parts <= most; parts++ {
-		choice, cost := split(engine, work, order[:parts])
-		if best.Target == nil || cost < bestCost {
-			best, bestCost = choice, cost
-		}
+	// Parts of long prompts never go to engines of tight requests.
+	long := order[tight:]
+	if len(long) == 0 {
+		long = order
 	}
-	return best, true
+	return choose(engine, work, long, len(long), longPart), true
 }
 
-// badness orders candidates: the wait there, and for long reads the writers
-// that they would delay.
-func badness(engine *rtcatalog.Engine, work Work, c Candidate) time.Duration {
-	wait := waitAt(engine, c)
-	if !work.Tight() {
-		return wait + time.Duration(c.Load.Writers)*harmTime
+// choose splits a prompt over the best candidates. The first home of them are
+// preferred to the others.
+func choose(engine *rtcatalog.Engine, work Work, order []Candidate, home int, limit time.Duration) Choice {
+	count := parts(engine, work, limit, len(order))
+	part := ReadTime(engine, work.Prompt, count)
+	type ranked struct {
+		Candidate
+		wait time.Duration
+		cost time.Duration
 	}
-	return wait
-}
-
-// harmTime is the wait that equals the delay of one tight writer in the choice
-// of engines for a long read.
-const harmTime = 40 * time.Millisecond
-
-// waitAt returns the wait before a new read can begin at a candidate.
-func waitAt(engine *rtcatalog.Engine, c Candidate) time.Duration {
-	pass := PassTime(engine, c.Load)
-	wait := pass/2 + c.Load.Reading + c.Away
-	if over := c.Load.Requests + 1 - c.Instance.Slots; over > 0 {
-		wait += time.Duration(over) * slotWait
+	all := make([]ranked, 0, len(order))
+	for i, c := range order {
+		r := ranked{Candidate: c, wait: waitAt(engine, c)}
+		r.cost = r.wait + time.Duration(c.Load.Requests)*writerWait
+		if i >= home {
+			r.cost += otherPool
+		}
+		all = append(all, r)
 	}
-	return wait
-}
-
-// split returns the choice that reads the prompt at all of the candidates, and
-// its cost.
-func split(engine *rtcatalog.Engine, work Work, chosen []Candidate) (Choice, float64) {
-	part := ReadTime(engine, work.Prompt, len(chosen))
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.Rank, b.Rank))
+	})
+	chosen := make([]Candidate, 0, count)
 	var longest time.Duration
-	harmed := 0.0
-	for _, c := range chosen {
-		longest = max(longest, waitAt(engine, c))
-		harmed += harm(engine, c, part)
+	for _, r := range all[:count] {
+		chosen = append(chosen, r.Candidate)
+		longest = max(longest, r.wait)
 	}
-	first := longest + part + PassTime(engine, Load{Requests: 1, Context: work.Prompt / rtid.Tokens(len(chosen))})
-	cost := harmed + lateness(work, first)*Value(work.Prompt)
-	// Each engine spends a little on taking part.
-	cost += 0.05 * float64(len(chosen))
 	target := roomiest(engine, chosen)
-	choice := Choice{Target: chosen[target].Instance, First: first, Part: part}
+	choice := Choice{
+		Target: chosen[target].Instance,
+		Part:   part,
+		First:  longest + part + PassTime(engine, Load{Requests: 1, Context: work.Prompt / rtid.Tokens(count)}),
+	}
 	for i, c := range chosen {
 		if i != target {
 			choice.Helpers = append(choice.Helpers, c.Instance)
 		}
 	}
-	return choice, cost
-}
-
-// harm returns the expected number of tight writers at a candidate that are
-// late because of a read there.
-func harm(engine *rtcatalog.Engine, c Candidate, part time.Duration) float64 {
-	pass := PassTime(engine, c.Load) + c.Load.Reading + part
-	if pass <= passBound {
-		return 0.2 * float64(c.Load.Writers) * float64(part) / float64(passBound)
-	}
-	return float64(c.Load.Writers)
+	return choice
 }
 
-// lateness returns the part of its value that a request loses by a wait for
-// its first event.
-func lateness(work Work, first time.Duration) float64 {
-	aim := time.Duration(aimShare * float64(work.Aim))
-	switch {
-	case aim <= 0 || first <= aim:
-		return 0.1 * float64(first) / float64(max(aim, time.Millisecond))
-	case first < work.Patience:
-		return 0.75 + 0.25*float64(first)/float64(work.Patience)
-	default:
-		return 1 + float64(first)/float64(max(work.Patience, time.Millisecond))
+// waitAt returns the wait before a new read can begin at a candidate.
+func waitAt(engine *rtcatalog.Engine, c Candidate) time.Duration {
+	wait := PassTime(engine, c.Load)/2 + c.Load.Reading + c.Away
+	if over := c.Load.Requests + 1 - c.Instance.Slots; over > 0 {
+		wait += time.Duration(over) * slotWait
 	}
+	return wait
 }
 
 // roomiest returns the index of the candidate with the most free memory; it
