Admit long prompts by what the engines can read in time

Cause: in the seconds of long prompts more reading arrives than the engines do. All of it was sent at once and all of it was late; the largest prompts took most.

Ruled out: refusing prompts larger than an engine (they come back and are refused again); reading them over few engines at once (their writers' pauses break for seconds).

--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -36,15 +36,27 @@
 	tellPart = 60 * time.Millisecond
 )
 
-// choose returns where to send a request. It reports false if no target may
-// take it now. The flight must be ended by the caller.
-func (g *Gateway) choose(q *request, tried []rtid.Target) (rtplacement.Choice, *rtplacement.Flight, bool) {
+// chosen is where a request goes.
+type chosen struct {
+	rtplacement.Choice
+	flight   *rtplacement.Flight // must be ended; nil unless the request is sent
+	decision rtplacement.Decision
+	pressure rtplacement.Pressure
+}
+
+// choose decides where to send a request, and whether now. It reports false if
+// no target may take it.
+func (g *Gateway) choose(q *request, tried []rtid.Target) (chosen, bool) {
 	view := g.views.View()
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	candidates := g.candidates(view, q.service, tried, now)
+	work := q.work
+	work.Waited = now.Sub(q.arrived)
 	var choice rtplacement.Choice
+	var pressure rtplacement.Pressure
+	decision := rtplacement.Send
 	var ok bool
 	if q.service.Engine != nil {
 		writers := 0
@@ -52,18 +64,20 @@
 			writers += candidates[i].Load.Writers
 		}
 		tight := g.poolsOf(q.service.Name).Tight(len(candidates), writers, now)
-		choice, ok = rtplacement.Engine(q.service.Engine, q.work, candidates, tight)
+		choice, ok = rtplacement.Engine(q.service.Engine, work, candidates, tight)
+		pressure = rtplacement.PressureOf(candidates, tight)
+		decision = rtplacement.Admit(work, choice, pressure)
 	} else {
 		choice, ok = rtplacement.Plain(candidates)
 	}
-	if !ok {
-		return choice, nil, false
+	if !ok || decision != rtplacement.Send {
+		return chosen{Choice: choice, decision: decision, pressure: pressure}, ok
 	}
 	g.startsOf(choice.Target.ID).Add(now)
 	if choice.Part >= tellPart {
 		g.placed()
 	}
-	return choice, g.book.Begin(choice, q.work, now), true
+	return chosen{Choice: choice, flight: g.book.Begin(choice, q.work, now), pressure: pressure}, true
 }
 
 // candidates returns the targets that may take a request. Targets under
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -67,6 +67,9 @@
 	// shedPause is when room is expected at targets that had none: a few
 	// passes of an engine.
 	shedPause = 400 * time.Millisecond
+	// waitStep is how often a waiting request looks for room: about one pass of
+	// an engine.
+	waitStep = 40 * time.Millisecond
 )
 
 // run sends the request until it has an end.
@@ -75,18 +78,23 @@
 	d.gateway.countRequest(q.service.Name)
 	d.lastEvent = q.facts.LastEvent
 	for {
-		choice, flight, ok := d.gateway.choose(q, d.tried)
+		choice, ok := d.gateway.choose(q, d.tried)
 		if !ok {
 			return d.giveUp("no target")
 		}
-		if refused := d.hopeless(choice); refused != nil {
-			d.gateway.end(flight)
-			return refused
+		switch choice.decision {
+		case rtplacement.Refuse:
+			return d.refuseNow(choice)
+		case rtplacement.Wait:
+			if refused, ended := d.wait(ctx); ended {
+				return refused
+			}
+			continue
 		}
 		d.tried = append(d.tried, choice.Target.ID)
 		sent := time.Now()
-		found := d.send(ctx, choice, flight)
-		d.gateway.end(flight)
+		found := d.send(ctx, choice.Choice, choice.flight)
+		d.gateway.end(choice.flight)
 		d.log(choice, found, sent)
 		if done, refused := d.settle(ctx, found); done {
 			return refused
@@ -94,14 +102,31 @@
 	}
 }
 
-// hopeless refuses a request whose caller would have left before its first
-// event. It answers overload: reading a prompt for nobody delays all others.
-func (d *delivery) hopeless(choice rtplacement.Choice) *refusal {
-	left := d.request.work.Patience - time.Since(d.request.arrived)
-	if d.started || d.uncertain || choice.First <= left {
-		return nil
+// wait lets a request wait for room. It reports whether the request has ended
+// meanwhile.
+func (d *delivery) wait(ctx context.Context) (*refusal, bool) {
+	timer := time.NewTimer(waitStep)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil, false
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return d.giveUp("no room in time"), true
+	}
+	d.gateway.log.Info("Caller left while waiting.", "request", d.request.facts.ID)
+	return nil, true
+}
+
+// refuseNow refuses a request whose caller would have left before its first
+// event: reading a prompt for nobody delays all others.
+func (d *delivery) refuseNow(choice chosen) *refusal {
+	if d.started || d.uncertain || d.kept != nil {
+		return d.giveUp("overloaded")
 	}
-	return notRun("overloaded", min(choice.First-left+shedPause, left/3))
+	left := time.Until(d.request.deadline)
+	return notRun("overloaded", min(choice.pressure.Backlog+shedPause, left/3))
 }
 
 // settle decides what follows a send. It reports whether the request has
@@ -174,10 +199,11 @@
 }
 
 // log writes the line of one send.
-func (d *delivery) log(choice rtplacement.Choice, found result, sent time.Time) {
+func (d *delivery) log(choice chosen, found result, sent time.Time) {
 	d.gateway.log.Info("Sent.", "request", d.request.facts.ID, "route", d.request.route.Name,
 		"target", choice.Target.ID, "prompt", d.request.work.Prompt,
 		"helpers", len(choice.Helpers), "predicted", choice.First.String(),
+		"backlog", choice.pressure.Backlog.String(),
 		"outcome", found.verdict.String(), "detail", found.detail, "revision", d.request.view.Revision,
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String())
 	tags := map[string]string{"outcome": found.verdict.String()}
--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -54,24 +54,33 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	order := slices.Clone(candidates)
-	slices.SortFunc(order, func(a, b Candidate) int { return cmp.Compare(a.Order, b.Order) })
+	order := ordered(candidates)
 	tight = min(tight, len(order))
 	if work.Tight() {
-		return choose(engine, work, order, tight, tightPart), true
+		return choose(engine, work, order, tight, parts(engine, work, tightPart, len(order))), true
 	}
 	// Parts of long prompts never go to engines of tight requests.
 	long := order[tight:]
 	if len(long) == 0 {
 		long = order
 	}
-	return choose(engine, work, long, len(long), longPart), true
+	count := parts(engine, work, longPart, len(long))
+	if work.Waited > work.Aim && ReadTime(engine, work.Prompt, count) > gapPart {
+		count = min(count, narrow(engine, work))
+	}
+	return choose(engine, work, long, len(long), count), true
+}
+
+// ordered returns candidates in the order that all processes share.
+func ordered(candidates []Candidate) []Candidate {
+	order := slices.Clone(candidates)
+	slices.SortFunc(order, func(a, b Candidate) int { return cmp.Compare(a.Order, b.Order) })
+	return order
 }
 
 // choose splits a prompt over the best candidates. The first home of them are
 // preferred to the others.
-func choose(engine *rtcatalog.Engine, work Work, order []Candidate, home int, limit time.Duration) Choice {
-	count := parts(engine, work, limit, len(order))
+func choose(engine *rtcatalog.Engine, work Work, order []Candidate, home, count int) Choice {
 	part := ReadTime(engine, work.Prompt, count)
 	type ranked struct {
 		Candidate
--- a/internal/rtplacement/engine.go
+++ b/internal/rtplacement/engine.go
@@ -17,6 +17,7 @@
 	Aim      time.Duration // to the first event
 	Gap      time.Duration // longest pause for full value
 	Patience time.Duration // wait for the first event after which the caller leaves
+	Waited   time.Duration // since the caller sent it
 }
 
 // Load is what a process believes of one target.
