Bound the reading that engines hold

Change: a long prompt waits at the gateway while its part and the backlog exceed what writers bear in one pass. First event and longest pause of each send are in its log line.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -35,7 +35,9 @@
 type result struct {
 	verdict verdict
 	detail  string
-	kept    *keptAnswer // whole answer of the target, for verdictFailed
+	kept    *keptAnswer   // whole answer of the target, for verdictFailed
+	first   time.Duration // from the send to the first event, for verdictDone of a stream
+	pause   time.Duration // longest between events, as first
 }
 
 // keptAnswer is a target's failure, passed on if no other target does better.
@@ -204,7 +206,8 @@
 		"target", choice.Target.ID, "prompt", d.request.work.Prompt,
 		"helpers", len(choice.Helpers), "predicted", choice.First.String(),
 		"backlog", choice.pressure.Backlog.String(),
-		"outcome", found.verdict.String(), "detail", found.detail, "revision", d.request.view.Revision,
+		"outcome", found.verdict.String(), "detail", found.detail,
+		"first", found.first.String(), "pause", found.pause.String(), "revision", d.request.view.Revision,
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String())
 	tags := map[string]string{"outcome": found.verdict.String()}
 	d.gateway.metrics.Scope.Tagged(tags).Counter("sends").Inc(1)
@@ -227,6 +230,7 @@
 	if renewal := d.renew(reserved); renewal != nil {
 		defer func() { _ = renewal.Stop() }() // it reports its errors itself
 	}
+	sent := time.Now()
 	answer, err := rtexchange.Send(ctx, d.gateway.network, choice.Target.Address, d.message(choice, reserved))
 	if err != nil {
 		return d.failure(ctx, choice.Target, err)
@@ -247,7 +251,7 @@
 	case !reply.Stamped, answer.Header.Get("Content-Encoding") != "":
 		return result{verdict: verdictLost, detail: "answer is not the target's own"}
 	}
-	relay := &relay{delivery: d, target: choice.Target, answer: answer, flight: flight, watch: watch}
+	relay := &relay{delivery: d, target: choice.Target, answer: answer, flight: flight, watch: watch, last: sent}
 	if d.request.route.Kind == rtcatalog.KindStream && answer.Status < http.StatusMultipleChoices {
 		return relay.stream(ctx)
 	}
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -33,6 +33,9 @@
 	answer   *rtexchange.Answer
 	flight   *rtplacement.Flight
 	watch    *silence
+	last     time.Time // of the last event, or of the send
+	first    time.Duration
+	pause    time.Duration // longest between two events
 }
 
 // whole passes an answer on that is not a stream: after its last byte has
@@ -68,12 +71,13 @@
 		event, err := r.answer.Next()
 		if errors.Is(err, io.EOF) {
 			r.start()
-			return result{verdict: verdictDone, detail: "complete"}
+			return result{verdict: verdictDone, detail: "complete", first: r.first, pause: r.pause}
 		}
 		if err != nil {
 			return d.failure(ctx, r.target, err)
 		}
 		r.watch.reset()
+		r.clock(time.Now())
 		r.start()
 		if _, err := d.request.w.Write(event.Bytes); err != nil {
 			return result{verdict: verdictCallerGone, detail: err.Error()}
@@ -89,6 +93,17 @@
 	}
 }
 
+// clock measures the first event and the pauses.
+func (r *relay) clock(now time.Time) {
+	since := now.Sub(r.last)
+	r.last = now
+	if r.first == 0 {
+		r.first = since
+		return
+	}
+	r.pause = max(r.pause, since)
+}
+
 // start records that the prompt has been read, and writes the head of the
 // answer at the first event of the request.
 func (r *relay) start() {
--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -29,6 +29,8 @@
 	// gapPart is the longest part of a prompt that writers of long requests
 	// bear: their tightest usual bound on pauses is 600 ms.
 	gapPart = 550 * time.Millisecond
+	// shortPass is a pass in which nothing is read.
+	shortPass = 50 * time.Millisecond
 	// fewWriters is the load at which longer parts harm few.
 	fewWriters = 0.5
 	// idleBacklog is the reading below which engines have room for requests
@@ -51,9 +53,11 @@
 	}
 	aim := time.Duration(aimShare * float64(work.Aim))
 	harmful := choice.Part > gapPart && pressure.Writers > fewWriters
+	// What an engine has got is read in its next pass, all at once.
+	full := pressure.Backlog > 0 && pressure.Backlog+choice.Part > gapPart-shortPass
 	inTime := work.Waited+choice.First <= aim
 	switch {
-	case inTime && !harmful:
+	case inTime && !harmful && !full:
 		return Send
 	case !inTime && pressure.Backlog <= idleBacklog && !harmful:
 		return Send
