Keep short prompts in their pool

Cause: a crowded pool lost short prompts to engines of long reads at a difference of 150 ms, where their pauses broke.

--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -39,7 +39,7 @@
 	// slotWait is the expected wait for each request beyond the slots.
 	slotWait = 100 * time.Millisecond
 	// otherPool is the wait that equals the use of an engine of the other pool.
-	otherPool = 150 * time.Millisecond
+	otherPool = 500 * time.Millisecond
 	// writerWait is the wait that equals one more request at an engine: what it
 	// adds to each pass, over the usual number of passes of an answer.
 	writerWait = 4 * time.Millisecond
