Size the pools by growth and waiting reads

Cause: pools followed the running writers only. When short prompts came in a burst the pool grew after them, and long reads queued on three engines while the others had room.

Change: the expected number of writers sizes the pool, between an easy and a dense number an engine; reading that waits decides where between them.

--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -63,7 +63,9 @@
 		for i := range candidates {
 			writers += candidates[i].Load.Writers
 		}
-		tight := g.poolsOf(q.service.Name).Tight(len(candidates), writers, now)
+		pools := g.poolsOf(q.service.Name)
+		pressure = rtplacement.PressureOf(candidates, pools.Now())
+		tight := pools.Tight(len(candidates), writers, pressure.Backlog, now)
 		choice, ok = rtplacement.Engine(q.service.Engine, work, candidates, tight)
 		pressure = rtplacement.PressureOf(candidates, tight)
 		decision = rtplacement.Admit(work, choice, pressure)
--- a/internal/rtplacement/pools.go
+++ b/internal/rtplacement/pools.go
@@ -12,40 +12,81 @@
 // their pauses past the bound, and engines kept apart for good are too few for
 // one of the two at each swing. The zero value is ready to use.
 type Pools struct {
-	tight  int       // engines of tight requests; 0 before the first call
-	shrunk time.Time // when tight went down last
+	tight   int       // engines of tight requests; 0 before the first call
+	moved   time.Time // when an engine changed its pool last
+	writers int       // tight requests at sampled
+	sampled time.Time
+	growth  float64 // of writers, a second
 }
 
 const (
-	// writersPerEngine are the tight requests that an engine is meant for: half
-	// of the usual slots, so that a burst finds room before the pools follow.
-	writersPerEngine = 8
+	// easyWriters are the tight requests that an engine is meant for: half of
+	// the usual slots. denseWriters are those that it bears while long reads
+	// need engines: their reads still fit between the pauses.
+	easyWriters  = 7
+	denseWriters = 12
 	// leastTight and leastLong are the engines that each pool keeps while there
 	// are enough.
 	leastTight = 2
 	leastLong  = 3
-	// shrinkInterval is the time between two engines that go back to long
-	// reads. The writers there end within about two seconds.
-	shrinkInterval = 250 * time.Millisecond
+	// busyBacklog is the reading for each engine above which the pool of long
+	// reads takes engines that the other one can spare.
+	busyBacklog = 200 * time.Millisecond
+	// moveInterval is the time between two engines that change their pool: all
+	// follow a swing of the load within about a second.
+	moveInterval = 60 * time.Millisecond
+	// sampleInterval is the time over which the growth of writers is measured,
+	// and growthTime how far ahead it is taken: a pool that grows has reading to
+	// finish first.
+	sampleInterval = 250 * time.Millisecond
+	growthTime     = 0.5 // seconds
 )
 
 // Tight returns how many of the engines are for tight requests, by the number
-// of those that are running on all. It grows at once and shrinks step by step.
-func (p *Pools) Tight(engines, writers int, now time.Time) int {
+// of those that are running on all and by the reading that waits at the other
+// engines.
+func (p *Pools) Tight(engines, writers int, backlog time.Duration, now time.Time) int {
 	if engines <= 1 {
 		return engines
 	}
-	want := 1 + (writers+writersPerEngine-1)/writersPerEngine
-	want = max(want, min(leastTight, engines/2))
-	want = min(want, max(engines-leastLong, (engines+1)/2))
+	p.sample(writers, now)
+	expected := float64(writers) + max(0, p.growth*growthTime)
+	most := max(engines-leastLong, (engines+1)/2)
+	least := min(most, max(min(leastTight, engines/2), 1+int(expected/denseWriters)))
+	easy := min(most, max(least, 2+int(expected/easyWriters)))
+	if p.tight == 0 {
+		p.tight = easy
+	}
+	want := easy
+	if backlog > busyBacklog {
+		want = least
+	}
 	switch {
-	case want >= p.tight:
-		p.tight = want
-	case now.Sub(p.shrunk) >= shrinkInterval:
+	case p.tight < least:
+		p.tight = least
+	case p.tight > most:
+		p.tight = most
+	case now.Sub(p.moved) < moveInterval:
+	case p.tight < want:
+		p.tight++
+		p.moved = now
+	case p.tight > want:
 		p.tight--
-		p.shrunk = now
+		p.moved = now
 	}
-	return min(p.tight, engines)
+	return p.tight
+}
+
+// sample measures the growth of writers.
+func (p *Pools) sample(writers int, now time.Time) {
+	elapsed := now.Sub(p.sampled)
+	if elapsed < sampleInterval {
+		return
+	}
+	if !p.sampled.IsZero() && elapsed < 4*sampleInterval {
+		p.growth = float64(writers-p.writers) / elapsed.Seconds()
+	}
+	p.writers, p.sampled = writers, now
 }
 
 // parts returns over how many engines a prompt is read at most: so many that
@@ -54,3 +95,6 @@
 	whole := ReadTime(engine, work.Prompt, 1)
 	return max(1, min(int((whole+limit-1)/limit), engines, 1+maxHelpers))
 }
+
+// Now returns the last result of Tight.
+func (p *Pools) Now() int { return p.tight }
