Try to read the longest prompts by a few engines

Expected: prompts over 300k tokens, which wait and are refused while engines are busy, would be served late by engines where nobody writes.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -69,6 +69,9 @@
 	// shedPause is when room is expected at targets that had none: a few
 	// passes of an engine.
 	shedPause = 400 * time.Millisecond
+	// ebbPause is when a prompt is worth another try that needs several engines
+	// for itself.
+	ebbPause = 4 * time.Second
 	// waitStep is how often a waiting request looks for room: about one pass of
 	// an engine.
 	waitStep = 40 * time.Millisecond
@@ -82,7 +85,11 @@
 	for {
 		choice, ok := d.gateway.choose(q, d.tried)
 		if !ok {
-			return d.giveUp("no target")
+			if time.Since(q.arrived) >= q.route.Aim/2 {
+				return d.giveUp("no target")
+			}
+			// A target may come back, or its rate allow one more, within the time.
+			choice.decision = rtplacement.Wait
 		}
 		switch choice.decision {
 		case rtplacement.Refuse:
@@ -128,7 +135,13 @@
 		return d.giveUp("overloaded")
 	}
 	left := time.Until(d.request.deadline)
-	return notRun("overloaded", min(choice.pressure.Backlog+shedPause, left/3))
+	after := choice.pressure.Backlog + shedPause
+	if choice.Narrow {
+		// Room for the longest prompts comes with the next ebb of long reads.
+		after = ebbPause
+	}
+	// Callers wait for at most a third of their time.
+	return notRun("overloaded", min(after, left/3))
 }
 
 // settle decides what follows a send. It reports whether the request has
--- a/internal/rtgateway/stages.go
+++ b/internal/rtgateway/stages.go
@@ -17,11 +17,27 @@
 	(*Gateway).readBody,
 }
 
-// comeBack is when to ask a process again that has just started.
-const comeBack = 300 * time.Millisecond
+const (
+	// comeBack is when to ask a process again that has just started.
+	comeBack = 300 * time.Millisecond
+	// startWait is how long a request waits in a process that has just started:
+	// the first read of the store takes some ten milliseconds.
+	startWait = 500 * time.Millisecond
+	startStep = 10 * time.Millisecond
+)
 
-// checkKnown refuses requests while nothing is known to serve them by.
+// checkKnown lets requests wait while nothing is known to serve them by.
 func (g *Gateway) checkKnown(q *request) *refusal {
+	for !q.view.Complete() && time.Since(q.arrived) < startWait {
+		timer := time.NewTimer(startStep)
+		select {
+		case <-timer.C:
+		case <-q.r.Context().Done():
+			timer.Stop()
+			return notRun("caller left", 0)
+		}
+		q.view = g.views.View()
+	}
 	if q.view == nil || q.view.Configuration == nil {
 		return notRun("no configuration yet", comeBack)
 	}
