--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -69,9 +69,6 @@
 	// shedPause is when room is expected at targets that had none: a few
 	// passes of an engine.
 	shedPause = 400 * time.Millisecond
-	// ebbPause is when a prompt is worth another try that needs several engines
-	// for itself.
-	ebbPause = 4 * time.Second
 	// waitStep is how often a waiting request looks for room: about one pass of
 	// an engine.
 	waitStep = 40 * time.Millisecond
@@ -135,13 +132,8 @@
 		return d.giveUp("overloaded")
 	}
 	left := time.Until(d.request.deadline)
-	after := choice.pressure.Backlog + shedPause
-	if choice.Narrow {
-		// Room for the longest prompts comes with the next ebb of long reads.
-		after = ebbPause
-	}
 	// Callers wait for at most a third of their time.
-	return notRun("overloaded", min(after, left/3))
+	return notRun("overloaded", min(choice.pressure.Backlog+shedPause, left/3))
 }
 
 // settle decides what follows a send. It reports whether the request has
--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -33,8 +33,6 @@
 	shortPass = 50 * time.Millisecond
 	// fewWriters is the load at which longer parts harm few.
 	fewWriters = 0.5
-	// narrowShare leaves time for the first event and for what was mispredicted.
-	narrowShare = 0.7
 	// idleBacklog is the reading below which engines have room for requests
 	// that are late in any case.
 	idleBacklog = 250 * time.Millisecond
@@ -53,35 +51,21 @@
 	if work.Tight() || work.Aim <= 0 {
 		return Send
 	}
-	if choice.Narrow {
-		return admitNarrow(choice, pressure)
-	}
+	aim := time.Duration(aimShare * float64(work.Aim))
+	harmful := choice.Part > gapPart && pressure.Writers > fewWriters
 	// What an engine has got is read in its next pass, all at once.
 	full := pressure.Backlog > 0 && pressure.Backlog+choice.Part > gapPart-shortPass
-	harmful := choice.Part > gapPart && pressure.Writers > fewWriters
-	inTime := work.Waited+choice.First <= time.Duration(aimShare*float64(work.Aim))
+	inTime := work.Waited+choice.First <= aim
 	switch {
-	case inTime && !full && !harmful, !inTime && pressure.Backlog <= idleBacklog && !harmful:
+	case inTime && !harmful && !full:
+		return Send
+	case !inTime && pressure.Backlog <= idleBacklog && !harmful:
 		return Send
 	default:
 		return Wait
 	}
 }
 
-// admitNarrow decides about a prompt so long that its parts would stretch the
-// pauses of all. It is late in any case; it is read by a few engines where
-// nobody writes while the others keep up, and refused at once otherwise.
-func admitNarrow(choice Choice, pressure Pressure) Decision {
-	switch {
-	case pressure.Backlog > idleBacklog:
-		return Refuse
-	case choice.Beside > 0:
-		return Wait
-	default:
-		return Send
-	}
-}
-
 // PressureOf returns the pressure on the engines for long reads, which follow
 // the first tight ones by Order.
 func PressureOf(candidates []Candidate, tight int) Pressure {
@@ -97,12 +81,12 @@
 	return Pressure{Backlog: sum.Reading / time.Duration(n), Writers: float64(sum.Requests) / float64(n)}
 }
 
-// narrow returns over how many engines a prompt is read whose parts would harm
-// many: so few that it is read within narrowShare of the time that its caller
-// has left.
+// narrow returns over how many engines a prompt is read that is late and
+// whose parts would harm many: so few that it is read in half of the time that
+// its caller has left.
 func narrow(engine *rtcatalog.Engine, work Work) int {
-	left := max(time.Duration(narrowShare*float64(work.Patience-work.Waited)), time.Second)
-	return 1 + int(ReadTime(engine, work.Prompt, 1)/left)
+	left := max(work.Patience-work.Waited, time.Second)
+	return max(1, int(2*ReadTime(engine, work.Prompt, 1)/left)+1)
 }
 
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Decision
--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -24,8 +24,6 @@
 	Helpers []*rtcatalog.Instance // read parts of the prompt
 	First   time.Duration         // predicted wait for the first event
 	Part    time.Duration         // predicted reading at each of these targets
-	Narrow  bool                  // the parts are too long for writers beside them
-	Beside  int                   // requests at these targets
 }
 
 const (
@@ -38,8 +36,6 @@
 	// (250 ms) even when two or three meet.
 	tightPart = 60 * time.Millisecond
 	longPart  = 100 * time.Millisecond
-	// widestShare is the part of all engines that long reads can hope for.
-	widestShare = 0.8
 	// slotWait is the expected wait for each request beyond the slots.
 	slotWait = 100 * time.Millisecond
 	// otherPool is the wait that equals the use of an engine of the other pool.
@@ -69,16 +65,8 @@
 		long = order
 	}
 	count := parts(engine, work, longPart, len(long))
-	// A prompt whose parts are too long only because its pool is small now waits
-	// for the pool to grow.
-	widest := min(1+maxHelpers, int(widestShare*float64(len(order))+1))
-	if ReadTime(engine, work.Prompt, widest) > gapPart && PressureOf(order, tight).Writers > fewWriters {
-		idle := slices.Clone(long)
-		slices.SortStableFunc(idle, func(a, b Candidate) int { return cmp.Compare(a.Load.Requests, b.Load.Requests) })
+	if work.Waited > work.Aim && ReadTime(engine, work.Prompt, count) > gapPart {
 		count = min(count, narrow(engine, work))
-		choice := choose(engine, work, idle[:count], count, count)
-		choice.Narrow = true
-		return choice, true
 	}
 	return choose(engine, work, long, len(long), count), true
 }
@@ -124,7 +112,6 @@
 		First:  longest + part + PassTime(engine, Load{Requests: 1, Context: work.Prompt / rtid.Tokens(count)}),
 	}
 	for i, c := range chosen {
-		choice.Beside += c.Load.Requests
 		if i != target {
 			choice.Helpers = append(choice.Helpers, c.Instance)
 		}
