--- a/internal/rtcatalog/catalog.go
+++ b/internal/rtcatalog/catalog.go
@@ -3,6 +3,7 @@
 package rtcatalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -156,6 +157,7 @@
 	Slots    int
 	Draining bool
 	Cold     time.Duration // how long it was going to stay cold when it reported
+	Created  uint64        // revision at which it was first seen; the later of two at an address lives
 }
 
 // View is what a process believes at one moment. It is not changed after it
@@ -178,7 +180,7 @@
 		instances:     make(map[rtid.Service][]*Instance),
 		byID:          make(map[rtid.Target]*Instance, len(instances)),
 	}
-	instances = slices.Clone(instances)
+	instances = latest(instances)
 	slices.SortFunc(instances, func(a, b *Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, instance := range instances {
 		view.instances[instance.Service] = append(view.instances[instance.Service], instance)
@@ -187,6 +189,17 @@
 	return view
 }
 
+// latest returns the instances without those whose address a later one has.
+func latest(instances []*Instance) []*Instance {
+	holders := make(map[rtid.Address]*Instance, len(instances))
+	for _, instance := range instances {
+		if holder := holders[instance.Address]; holder == nil || instance.Created > holder.Created {
+			holders[instance.Address] = instance
+		}
+	}
+	return slices.Collect(maps.Values(holders))
+}
+
 // Instances returns the known targets of a service, with those that may not be
 // used.
 func (v *View) Instances(service rtid.Service) []*Instance { return v.instances[service] }
--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -21,13 +21,15 @@
 type Item struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
-	Revision uint64 `json:"revision"` // of its last change
+	Revision uint64 `json:"revision"`          // of its last change
+	Created  uint64 `json:"created,omitempty"` // revision of its creation
 }
 
 // Change is an item as it was written, or its removal.
 type Change struct {
 	Item
-	Removed bool
+	Removed bool `json:"removed,omitempty"`
+	Doubted bool `json:"doubted,omitempty"` // the removal may be the store's own lapse
 }
 
 // Errors of a Source.
@@ -68,6 +70,8 @@
 	// The pause after a failed call grows from firstPause to lastPause.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
+	// idlePause is how often a process that is no reader looks whether it is.
+	idlePause = 100 * time.Millisecond
 	// outage is the silence of the store after which removals are doubted.
 	outage = 1 * time.Second
 	// returnTime is how long after its return the store may lack targets that
@@ -83,22 +87,41 @@
 	view    atomic.Pointer[rtcatalog.View]
 	changed chan struct{} // receives after each new view; capacity 1
 
+	reader atomic.Bool // this process asks the store itself
+
 	mu       sync.Mutex
 	state    State
+	history  history
 	contact  time.Time // last answer of the store
 	failing  bool      // a call has failed since contact
 	returned time.Time // first answer after an outage
-	doubted  map[string]uint64
+	doubted  map[string]doubt
+}
+
+// doubt is a removal that may be the store's own lapse.
+type doubt struct {
+	revision uint64    // of the removal
+	due      time.Time // when it counts
 }
 
 // New returns a feed that knows nothing.
 func New(source Source, decoder Decoder, log logr.Logger) *Feed {
-	return &Feed{
+	feed := &Feed{
 		source:  source,
 		decoder: decoder,
 		log:     log.WithName("feed"),
 		changed: make(chan struct{}, 1),
-		doubted: make(map[string]uint64),
+		doubted: make(map[string]doubt),
+	}
+	feed.reader.Store(true)
+	return feed
+}
+
+// SetReader sets whether this process asks the store itself. One that does not
+// learns from peers by Adopt.
+func (f *Feed) SetReader(reader bool) {
+	if f.reader.Swap(reader) != reader {
+		f.log.Info("Reader changed.", "reader", reader, "revision", f.Revision())
 	}
 }
 
@@ -115,25 +138,42 @@
 	return f.contact
 }
 
-// State returns a copy of the state for a peer.
-func (f *Feed) State() State {
+// Delta returns what a peer lacks that knows all up to a revision.
+func (f *Feed) Delta(after uint64) Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Clone()
+	delta := Delta{Revision: f.state.Revision}
+	changes, ok := f.history.since(after)
+	if !ok {
+		delta.Full = true
+		for _, item := range f.state.Items {
+			changes = append(changes, Change{Item: item})
+		}
+		for key, d := range f.doubted {
+			changes = append(changes, Change{Item: Item{Key: key, Revision: d.revision}, Removed: true, Doubted: true})
+		}
+	}
+	delta.Changes = changes
+	return delta
 }
 
-// Adopt takes the state of a peer if it is newer.
-func (f *Feed) Adopt(state State, peer string) bool {
+// Adopt takes in what a peer knows more.
+func (f *Feed) Adopt(delta Delta, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if state.Revision <= f.state.Revision {
-		return false
+	if delta.Revision <= f.state.Revision {
+		return
+	}
+	f.log.Info("Adopted the state of a peer.", "peer", peer, "from", f.state.Revision, "to", delta.Revision,
+		"changes", len(delta.Changes), "full", delta.Full)
+	changes := delta.Changes
+	if delta.Full {
+		changes = f.state.Difference(delta.Changes, delta.Revision)
+	}
+	f.merge(changes, delta.Revision)
+	if delta.Full {
+		f.history.reset(f.state.Revision)
 	}
-	f.log.Info("Adopted the state of a peer.", "peer", peer, "from", f.state.Revision, "to", state.Revision)
-	f.state = state.Clone()
-	clear(f.doubted)
-	f.publish()
-	return true
 }
 
 // Run follows the store until the context ends.
@@ -141,6 +181,14 @@
 	pause := firstPause
 	complete := false // the state holds a full read, which watches can go on from
 	for ctx.Err() == nil {
+		f.settle(time.Now())
+		if !f.reader.Load() {
+			// The state is as good as a read of the store: both hold all changes
+			// up to a revision.
+			complete = complete || f.Revision() > 0
+			sleep(ctx, idlePause)
+			continue
+		}
 		started := time.Now()
 		var err error
 		if complete {
@@ -161,14 +209,13 @@
 			sleep(ctx, pause)
 			pause = min(lastPause, 2*pause)
 		}
-		f.settle(time.Now())
 	}
 	return nil
 }
 
 // read replaces the state by all items of the store.
 func (f *Feed) read(ctx context.Context) error {
-	var all []Item
+	var all []Change
 	var first uint64
 	after := ""
 	for {
@@ -183,7 +230,9 @@
 			// what changed while the others were read.
 			first = revision
 		}
-		all = append(all, items...)
+		for _, item := range items {
+			all = append(all, Change{Item: item})
+		}
 		if !more || len(items) == 0 {
 			break
 		}
@@ -193,6 +242,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.merge(f.state.Difference(all, first), first)
+	f.history.reset(f.state.Revision)
 	return nil
 }
 
@@ -214,14 +264,23 @@
 // merge applies changes. The caller holds mu.
 func (f *Feed) merge(changes []Change, revision uint64) {
 	changed := false
-	doubt := time.Since(f.returned) < returnTime
+	now := time.Now()
+	lapse := now.Sub(f.returned) < returnTime
 	for _, change := range changes {
-		if change.Removed && doubt && f.state.Has(change.Key) && f.decoder.Perishable(change.Key) {
-			f.doubted[change.Key] = change.Revision
+		doubtful := change.Doubted || lapse && f.decoder.Perishable(change.Key)
+		if change.Removed && doubtful && f.state.Has(change.Key) {
+			if _, known := f.doubted[change.Key]; !known {
+				f.doubted[change.Key] = doubt{revision: change.Revision, due: now.Add(returnTime)}
+			}
+			change.Doubted = true
+			f.history.add(change)
 			continue
 		}
-		delete(f.doubted, change.Key)
-		changed = f.state.Apply(change) || changed
+		if f.state.Apply(change) {
+			changed = true
+			delete(f.doubted, change.Key)
+			f.history.add(change)
+		}
 	}
 	f.state.Revision = max(f.state.Revision, revision)
 	if changed || f.view.Load() == nil {
@@ -234,15 +293,19 @@
 func (f *Feed) settle(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.doubted) == 0 || now.Sub(f.returned) < returnTime || now.Sub(f.contact) > outage {
-		return
+	changed := false
+	for key, d := range f.doubted {
+		if now.Before(d.due) || f.reader.Load() && f.failing {
+			continue
+		}
+		f.log.Info("Target has not come back with the store.", "key", key, "revision", d.revision)
+		delete(f.doubted, key)
+		f.state.Apply(Change{Item: Item{Key: key, Revision: d.revision}, Removed: true})
+		changed = true
 	}
-	for key, revision := range f.doubted {
-		f.log.Info("Target has not come back with the store.", "key", key, "revision", revision)
-		f.state.Apply(Change{Item: Item{Key: key, Revision: revision}, Removed: true})
+	if changed {
+		f.publish()
 	}
-	clear(f.doubted)
-	f.publish()
 }
 
 // publish makes a new view. The caller holds mu.
--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -15,6 +15,7 @@
 	until    time.Time
 	failures int
 	firm     bool // answers do not end it
+	gone     bool // it is not used even where there is no other
 }
 
 const (
@@ -25,6 +26,13 @@
 	// leavingTime is how long a target is avoided that refuses to help others:
 	// it leaves and is served out, which the store shows a little later.
 	leavingTime = 3 * time.Second
+	// goneTime is how long it is kept in mind that a target is gone; its entry
+	// lapses after three heartbeats (some seconds).
+	goneTime = 30 * time.Second
+	// hearsayTime bounds how long the word of a peer makes a target avoided, and
+	// knownTime is the age of an own answer that goes before it.
+	hearsayTime = 500 * time.Millisecond
+	knownTime   = 300 * time.Millisecond
 	// zoneDelay is what a target in another availability zone costs, there and
 	// back (brief: a few milliseconds one way).
 	zoneDelay = 10 * time.Millisecond
@@ -100,9 +108,12 @@
 		if instance.Zone != g.settings.Zone {
 			candidate.Away = zoneDelay
 		}
-		if now.Before(g.suspects[instance.ID].until) {
+		s := g.suspects[instance.ID]
+		switch {
+		case now.Before(s.until) && s.gone:
+		case now.Before(s.until):
 			doubted = append(doubted, candidate)
-		} else {
+		default:
 			trusted = append(trusted, candidate)
 		}
 	}
@@ -162,19 +173,57 @@
 func (g *Gateway) blame(fault string, choice rtplacement.Choice) bool {
 	for _, helper := range choice.Helpers {
 		if fault != "" && (fault == string(helper.ID) || fault == string(helper.Address)) {
-			g.suspectFor(helper.ID, leavingTime, "refuses to help")
+			g.avoid(helper.ID, suspicion{until: time.Now().Add(leavingTime), failures: 1, firm: true}, "refuses to help")
 			return true
 		}
 	}
 	return false
 }
 
-// suspectFor avoids a target for a given time, whatever it answers meanwhile.
-func (g *Gateway) suspectFor(target rtid.Target, d time.Duration, reason string) {
+// avoid sets a suspicion.
+func (g *Gateway) avoid(target rtid.Target, s suspicion, reason string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.suspects[target] = suspicion{until: time.Now().Add(d), failures: 1, firm: true}
-	g.log.Info("Target avoided.", "target", target, "reason", reason, "for", d.String())
+	g.suspects[target] = s
+	g.log.Info("Target avoided.", "target", target, "reason", reason, "for", time.Until(s.until).String())
+}
+
+// leave avoids a target for good whose address another one has: a start of a
+// target never comes back.
+func (g *Gateway) leave(target rtid.Target) {
+	g.avoid(target, suspicion{until: time.Now().Add(goneTime), failures: 1, firm: true, gone: true}, "another target has the address")
+}
+
+// Suspects returns the targets that this process has found to fail itself, and
+// for how long it avoids them.
+func (g *Gateway) Suspects() map[rtid.Target]time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	suspects := make(map[rtid.Target]time.Duration)
+	for target, s := range g.suspects {
+		switch {
+		case now.Sub(s.until) > goneTime:
+			delete(g.suspects, target)
+		case s.failures > 0 && s.until.After(now):
+			suspects[target] = s.until.Sub(now)
+		}
+	}
+	return suspects
+}
+
+// Avoid avoids targets that a peer has found to fail, unless this process knows
+// better: it has found so itself, or has just been answered by the target.
+func (g *Gateway) Avoid(targets map[rtid.Target]time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for target, left := range targets {
+		if g.suspects[target].until.After(now) || now.Sub(g.heard[target]) < knownTime {
+			continue
+		}
+		g.suspects[target] = suspicion{until: now.Add(min(left, hearsayTime))}
+	}
 }
 
 // hear records that a target has answered.
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -63,7 +63,7 @@
 
 const (
 	// maxUnsent bounds targets that could not be reached for one request.
-	maxUnsent = 4
+	maxUnsent = 6
 	// maxHelped bounds sends of one request that a helper refused.
 	maxHelped = 4
 	// shedPause is when room is expected at targets that had none: a few
@@ -249,7 +249,7 @@
 	case reply.NotRun && d.gateway.blame(reply.Fault, choice):
 		return result{verdict: verdictHelper, detail: "refused because of helper " + reply.Fault}
 	case reply.NotRun && answer.Status == http.StatusMisdirectedRequest:
-		d.gateway.suspect(choice.Target.ID, "another target has the address")
+		d.gateway.leave(choice.Target.ID)
 		return result{verdict: verdictElsewhere, detail: "another target has the address"}
 	case reply.NotRun:
 		return result{verdict: verdictNotRun, detail: fmt.Sprintf("refused with %d, at fault %q", answer.Status, reply.Fault)}
