Let each gateway choose among a random part of the engines

Ruled out: telling each placement to all at once (about 250 messages a second at each gateway).

Change: with more than four gateways each considers a random part of the pool.

--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -1,6 +1,7 @@
 package rtgateway
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -74,7 +75,7 @@
 		pools := g.poolsOf(q.service.Name)
 		pressure = rtplacement.PressureOf(candidates, pools.Now())
 		tight := pools.Tight(len(candidates), writers, pressure.Backlog, now)
-		choice, ok = rtplacement.Engine(q.service.Engine, work, candidates, tight)
+		choice, ok = rtplacement.Engine(q.service.Engine, work, candidates, rtplacement.Sight{Tight: tight, Gateways: g.peers()})
 		pressure = rtplacement.PressureOf(candidates, tight)
 		decision = rtplacement.Admit(work, choice, pressure)
 	} else {
@@ -102,8 +103,8 @@
 		candidate := rtplacement.Candidate{
 			Instance: instance,
 			Load:     g.book.Load(instance.ID, now),
-			Order:    hash("", instance.ID),
-			Rank:     hash(g.settings.VM, instance.ID),
+			Order:    hash(instance.ID),
+			Rank:     rand.Uint32(),
 		}
 		if instance.Zone != g.settings.Zone {
 			candidate.Away = zoneDelay
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -157,13 +157,10 @@
 	return view.Configuration.Version
 }
 
-// hash orders targets: alike in all processes for no VM, differently in each
-// process for its own.
-func hash(vm rtid.VM, target rtid.Target) uint32 {
+// hash orders targets alike in all processes.
+func hash(target rtid.Target) uint32 {
 	sum := fnv.New32a()
-	// Writing to a hash never fails.
-	_, _ = sum.Write([]byte(vm))
-	_, _ = sum.Write([]byte(target))
+	_, _ = sum.Write([]byte(target)) // never fails
 	return sum.Sum32()
 }
 
--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -15,7 +15,13 @@
 	Load     Load
 	Away     time.Duration // there and back
 	Order    uint32        // the same in all processes
-	Rank     uint32        // breaks ties; differs between processes
+	Rank     uint32        // random for each request
+}
+
+// Sight is what a process knows of the fleet when it chooses.
+type Sight struct {
+	Tight    int // engines, by Order, that are for tight requests
+	Gateways int // processes that choose at the same time; at least 1
 }
 
 // Choice is where a request goes.
@@ -36,6 +42,11 @@
 	// (250 ms) even when two or three meet.
 	tightPart = 60 * time.Millisecond
 	longPart  = 100 * time.Millisecond
+	// sharedView is how many gateways choose among all engines without getting
+	// into each other's way, and spareParts the engines beyond the parts of a
+	// prompt that more of them choose among.
+	sharedView = 4
+	spareParts = 6
 	// slotWait is the expected wait for each request beyond the slots.
 	slotWait = 100 * time.Millisecond
 	// otherPool is the wait that equals the use of an engine of the other pool.
@@ -48,16 +59,32 @@
 // Tight reports whether pauses of the work are bounded tightly.
 func (w Work) Tight() bool { return w.Gap > 0 && w.Gap <= tightGap }
 
-// Engine chooses the engines of a request. Tight counts the engines, by Order,
-// that are for tight requests. It reports false without a candidate.
-func Engine(engine *rtcatalog.Engine, work Work, candidates []Candidate, tight int) (Choice, bool) {
+// sample returns a random part of candidates, at least least of them. It
+// answers many gateways that choose by the same reports at the same time: each
+// sees other idle engines. As few as sharedView see all.
+func (s Sight) sample(candidates []Candidate, least int) []Candidate {
+	size := max(least, (len(candidates)*sharedView+s.Gateways-1)/max(1, s.Gateways))
+	if size >= len(candidates) {
+		return candidates
+	}
+	sampled := slices.Clone(candidates)
+	slices.SortFunc(sampled, func(a, b Candidate) int { return cmp.Compare(a.Rank, b.Rank) })
+	return sampled[:size]
+}
+
+// Engine chooses the engines of a request. It reports false without a
+// candidate.
+func Engine(engine *rtcatalog.Engine, work Work, candidates []Candidate, sight Sight) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	order := ordered(candidates)
-	tight = min(tight, len(order))
+	tight := min(sight.Tight, len(order))
 	if work.Tight() {
-		return choose(engine, work, order, tight, parts(engine, work, tightPart, len(order))), true
+		count := parts(engine, work, tightPart, len(order))
+		home := sight.sample(order[:tight], count+1)
+		all := append(slices.Clone(home), sight.sample(order[tight:], 1)...)
+		return choose(engine, work, all, len(home), min(count, len(all))), true
 	}
 	// Parts of long prompts never go to engines of tight requests.
 	long := order[tight:]
@@ -68,6 +95,7 @@
 	if work.Waited > work.Aim && ReadTime(engine, work.Prompt, count) > gapPart {
 		count = min(count, narrow(engine, work))
 	}
+	long = sight.sample(long, count+spareParts)
 	return choose(engine, work, long, len(long), count), true
 }
 
