Doubt removals only for 2.2 s after the store's return

A watch that began at the return also hid the return until its first news.

Ruled out: doubting nothing after an outage of one process only (it cannot tell that from an outage of the store).

Change: a doubt is due 2.2 s after the return; while calls fail a watch is short; peers pass on how long a doubt still lasts.

Tests first red: TestReturnOfTheStore in three rows.

--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -29,7 +29,9 @@
 type Change struct {
 	Item
 	Removed bool `json:"removed,omitempty"`
-	Doubted bool `json:"doubted,omitempty"` // the removal may be the store's own lapse
+	// Doubt is how long the removal may still turn out to be a lapse of the
+	// store's own; 0 for none.
+	Doubt time.Duration `json:"doubt,omitempty"`
 }
 
 // Errors of a Source.
@@ -60,6 +62,8 @@
 	// watchWait bounds one watch, so that a connection that has gone silent is
 	// noticed before a change is overdue (2 s in the published bounds).
 	watchWait = 1500 * time.Millisecond
+	// probeWait is the wait of a watch while the store does not answer.
+	probeWait = 10 * time.Millisecond
 	// callSlack is the time of a call beyond its wait.
 	callSlack = 500 * time.Millisecond
 	// pageTimeout bounds the read of one page.
@@ -150,7 +154,13 @@
 			changes = append(changes, Change{Item: item})
 		}
 		for key, d := range f.doubted {
-			changes = append(changes, Change{Item: Item{Key: key, Revision: d.revision}, Removed: true, Doubted: true})
+			changes = append(changes, Change{Item: Item{Key: key, Revision: d.revision}, Removed: true})
+		}
+	}
+	now := time.Now()
+	for i, change := range changes {
+		if d, ok := f.doubted[change.Key]; ok && change.Removed && change.Revision == d.revision {
+			changes[i].Doubt = max(time.Millisecond, d.due.Sub(now))
 		}
 	}
 	delta.Changes = changes
@@ -248,9 +258,10 @@
 
 // watch waits for changes once.
 func (f *Feed) watch(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, watchWait+callSlack)
+	wait := f.nextWait(time.Now())
+	call, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
-	changes, revision, err := f.source.Watch(call, f.Revision(), watchWait)
+	changes, revision, err := f.source.Watch(call, f.Revision(), wait)
 	if err != nil {
 		return err
 	}
@@ -267,12 +278,15 @@
 	now := time.Now()
 	lapse := now.Sub(f.returned) < returnTime
 	for _, change := range changes {
-		doubtful := change.Doubted || lapse && f.decoder.Perishable(change.Key)
+		doubtful := change.Doubt > 0 || lapse && f.decoder.Perishable(change.Key)
 		if change.Removed && doubtful && f.state.Has(change.Key) {
 			if _, known := f.doubted[change.Key]; !known {
-				f.doubted[change.Key] = doubt{revision: change.Revision, due: now.Add(returnTime)}
+				due := f.returned.Add(returnTime)
+				if change.Doubt > 0 {
+					due = now.Add(change.Doubt)
+				}
+				f.doubted[change.Key] = doubt{revision: change.Revision, due: due}
 			}
-			change.Doubted = true
 			f.history.add(change)
 			continue
 		}
@@ -329,6 +343,21 @@
 	f.contact, f.failing = now, false
 }
 
+// nextWait returns the wait of the next watch. It ends when a doubt is due, and
+// at once while the store does not answer, so that its return is noticed.
+func (f *Feed) nextWait(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing {
+		return probeWait
+	}
+	wait := watchWait
+	for _, d := range f.doubted {
+		wait = min(wait, d.due.Sub(now))
+	}
+	return max(wait, probeWait)
+}
+
 // lost logs the first failed call of an outage.
 func (f *Feed) lost(err error) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/rtfeed/feed_test.go
@@ -0,0 +1,333 @@
+package rtfeed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
+)
+
+// keyDecoder makes a target of each item.
+type keyDecoder struct{}
+
+func (keyDecoder) Perishable(key string) bool { return strings.HasPrefix(key, "t") }
+
+func (keyDecoder) View(state State, _ *rtcatalog.View) *rtcatalog.View {
+	var instances []*rtcatalog.Instance
+	for key := range state.Items {
+		instances = append(instances, &rtcatalog.Instance{ID: rtid.Target(key), Service: "work", Address: rtid.Address(key)})
+	}
+	return rtcatalog.NewView(state.Revision, nil, nil, instances)
+}
+
+// fakeStore is a store with a history.
+type fakeStore struct {
+	mu      sync.Mutex
+	items   map[string]Item
+	changes []Change
+	all     []Change // changes and those that are forgotten
+	floor   uint64   // changes up to it are forgotten
+	at      uint64
+	down    bool
+	noWait  bool // a watch without news ends at once
+	changed chan struct{}
+	calls   int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: make(map[string]Item), changed: make(chan struct{})}
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	item := Item{Key: key, Value: []byte(value), Revision: s.at}
+	s.items[key] = item
+	s.record(Change{Item: item})
+}
+
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	delete(s.items, key)
+	s.record(Change{Item: Item{Key: key, Revision: s.at}, Removed: true})
+}
+
+func (s *fakeStore) record(change Change) {
+	s.changes = append(s.changes, change)
+	s.all = append(s.all, change)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// forget drops the history.
+func (s *fakeStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floor = s.at
+	s.changes = nil
+}
+
+// keysAt returns the keys that the store held at a revision.
+func (s *fakeStore) keysAt(revision uint64) string {
+	held := make(map[string]bool)
+	for _, change := range s.all {
+		if change.Revision <= revision {
+			held[change.Key] = true
+			if change.Removed {
+				delete(held, change.Key)
+			}
+		}
+	}
+	return strings.Join(slices.Sorted(maps.Keys(held)), " ")
+}
+
+const fakePage = 2
+
+func (s *fakeStore) Page(_ context.Context, after string) ([]Item, bool, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, false, 0, ErrBusy
+	}
+	keys := slices.Sorted(maps.Keys(s.items))
+	keys = slices.DeleteFunc(keys, func(key string) bool { return key <= after })
+	more := len(keys) > fakePage
+	var items []Item
+	for _, key := range keys[:min(len(keys), fakePage)] {
+		items = append(items, s.items[key])
+	}
+	return items, more, s.at, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		s.calls++
+		down, floor, at, changed := s.down, s.floor, s.at, s.changed
+		var news []Change
+		for _, change := range s.changes {
+			if change.Revision > after {
+				news = append(news, change)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, errors.New("refused")
+		case after < floor:
+			return nil, 0, ErrHistory
+		case len(news) > 0 || s.noWait:
+			return news, at, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// keys returns the keys of a feed's view.
+func keys(f *Feed) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strings.Join(slices.Sorted(maps.Keys(f.state.Items)), " ")
+}
+
+// follow runs a test with a feed that follows a store.
+func follow(t *testing.T, test func(t *testing.T, store *fakeStore, feed *Feed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		store.put("t1", "")
+		store.put("t2", "")
+		feed := New(store, keyDecoder{}, logr.Discard())
+		task := rttask.Start(t.Context(), "feed", feed.Run)
+		defer func() {
+			if err := task.Stop(); err != nil {
+				t.Error(err)
+			}
+		}()
+		time.Sleep(time.Second)
+		test(t, store, feed)
+	})
+}
+
+// Guards against a change that is in force later than operators are promised,
+// in a store that is well.
+func TestFollows(t *testing.T) {
+	follow(t, func(t *testing.T, store *fakeStore, feed *Feed) {
+		store.put("t3", "")
+		store.remove("t1")
+		time.Sleep(600 * time.Millisecond)
+		if got := keys(feed); got != "config t2 t3" {
+			t.Errorf("knows %q", got)
+		}
+	})
+}
+
+// Guards against targets that are taken for gone because their leases lapsed
+// while the store was away, and against targets that left and are used on.
+func TestReturnOfTheStore(t *testing.T) {
+	tests := []struct {
+		name   string
+		outage time.Duration
+		events func(store *fakeStore) // after the return
+		after  time.Duration
+		want   string
+	}{
+		{"lapsed and back", 4 * time.Second, func(s *fakeStore) {
+			s.remove("t1")
+			time.Sleep(1500 * time.Millisecond)
+			s.put("t1", "")
+		}, 300 * time.Millisecond, "config t1 t2"},
+		{"lapsed, not back yet", 4 * time.Second, func(s *fakeStore) { s.remove("t1") }, time.Second, "config t1 t2"},
+		{"lapsed for good", 4 * time.Second, func(s *fakeStore) { s.remove("t1") }, 3 * time.Second, "config t2"},
+		{"left at the end of the doubt", 4 * time.Second, func(s *fakeStore) {
+			time.Sleep(2 * time.Second)
+			s.remove("t1")
+		}, 1500 * time.Millisecond, "config t2"},
+		{"left later", 4 * time.Second, func(s *fakeStore) {
+			time.Sleep(4 * time.Second)
+			s.remove("t1")
+		}, time.Second, "config t2"},
+		{"left without an outage", 0, func(s *fakeStore) { s.remove("t1") }, time.Second, "config t2"},
+		{"configuration is not doubted", 4 * time.Second, func(s *fakeStore) { s.remove("config") }, time.Second, "t1 t2"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			follow(t, func(t *testing.T, store *fakeStore, feed *Feed) {
+				if test.outage > 0 {
+					store.setDown(true)
+					time.Sleep(test.outage)
+					store.setDown(false)
+				}
+				test.events(store)
+				time.Sleep(test.after)
+				if got := keys(feed); got != test.want {
+					t.Errorf("knows %q, want %q", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against changes that are missed when the store forgets its history.
+func TestHistoryLost(t *testing.T) {
+	follow(t, func(t *testing.T, store *fakeStore, feed *Feed) {
+		store.setDown(true)
+		time.Sleep(700 * time.Millisecond)
+		store.remove("t1")
+		store.put("t9", "")
+		store.put("config", "2")
+		store.forget()
+		store.setDown(false)
+		time.Sleep(4 * time.Second)
+		if got := keys(feed); got != "config t2 t9" {
+			t.Errorf("knows %q", got)
+		}
+	})
+}
+
+// Guards against a process that asks the store though others do it for it, and
+// against one that no longer learns anything.
+func TestNoReader(t *testing.T) {
+	follow(t, func(t *testing.T, store *fakeStore, feed *Feed) {
+		feed.SetReader(false)
+		time.Sleep(3 * time.Second)
+		before := store.calls
+		store.put("t3", "")
+		time.Sleep(10 * time.Second)
+		if store.calls != before {
+			t.Errorf("%d calls by a process that is no reader", store.calls-before)
+		}
+		other := New(store, keyDecoder{}, logr.Discard())
+		if err := other.read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		feed.Adopt(other.Delta(feed.Revision()), "other")
+		if got := keys(feed); got != "config t1 t2 t3" {
+			t.Errorf("knows %q after a delta", got)
+		}
+		feed.SetReader(true)
+		store.remove("t3")
+		time.Sleep(time.Second)
+		if got := keys(feed); got != "config t1 t2" {
+			t.Errorf("knows %q as a reader again", got)
+		}
+	})
+}
+
+// Guards against states that differ between processes at one revision, and
+// against a revision that goes back: two processes learn random changes from a
+// store that forgets, and from each other.
+func TestStatesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newFakeStore()
+		store.noWait = true
+		feeds := []*Feed{
+			New(store, keyDecoder{}, logr.Discard()),
+			New(store, keyDecoder{}, logr.Discard()),
+			New(store, keyDecoder{}, logr.Discard()),
+		}
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for range steps {
+			i := rapid.IntRange(0, len(feeds)-1).Draw(t, "feed")
+			j := rapid.IntRange(0, len(feeds)-1).Draw(t, "peer")
+			key := fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key"))
+			before := feeds[i].Revision()
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				store.put(key, "")
+			case 2:
+				store.remove(key)
+			case 3:
+				store.forget()
+			case 4:
+				if feeds[i].Revision() == 0 || feeds[i].watch(t.Context()) != nil {
+					if err := feeds[i].read(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+				}
+			case 5:
+				feeds[i].Adopt(feeds[j].Delta(feeds[i].Revision()), "peer")
+			}
+			if feeds[i].Revision() < before {
+				t.Fatalf("revision went back from %d to %d", before, feeds[i].Revision())
+			}
+			for _, feed := range feeds {
+				if want := store.keysAt(feed.Revision()); want != keys(feed) {
+					t.Fatalf("at revision %d: knows %q, store had %q", feed.Revision(), keys(feed), want)
+				}
+			}
+		}
+	})
+}
--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -148,6 +148,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// CloseWrite ends the own side of the connection. The server does so after a
+// refusal of a long body, so that the caller can read it.
+func (c *idleConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // markIdle follows the states of a connection.
 func markIdle(connection net.Conn, state http.ConnState) {
 	c, ok := connection.(*idleConn)
