Keep shared budgets after many processes start again

Change: for 1.2 s a process takes there to be 30 others; in the first window after its start it uses a quarter of its part of the budget.

--- a/internal/rtfeed/feed_test.go
+++ b/internal/rtfeed/feed_test.go
@@ -81,6 +81,13 @@
 	s.down = down
 }
 
+// called returns the calls so far.
+func (s *fakeStore) called() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // forget drops the history.
 func (s *fakeStore) forget() {
 	s.mu.Lock()
@@ -263,11 +270,11 @@
 	follow(t, func(t *testing.T, store *fakeStore, feed *Feed) {
 		feed.SetReader(false)
 		time.Sleep(3 * time.Second)
-		before := store.calls
+		before := store.called()
 		store.put("t3", "")
 		time.Sleep(10 * time.Second)
-		if store.calls != before {
-			t.Errorf("%d calls by a process that is no reader", store.calls-before)
+		if calls := store.called(); calls != before {
+			t.Errorf("%d calls by a process that is no reader", calls-before)
 		}
 		other := New(store, keyDecoder{}, logr.Discard())
 		if err := other.read(t.Context()); err != nil {
--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -266,7 +266,7 @@
 	share := g.retries[service]
 	if share == nil {
 		share = &rtlimit.RetryShare{Ratio: g.bounds.RetryRatio, Allowance: g.bounds.RetryAllowance}
-		share.Start(g.bounds.RetryWindow)
+		share.Start(g.bounds.RetryWindow, g.started)
 		g.retries[service] = share
 	}
 	return share
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -66,6 +66,7 @@
 	peers    func() int
 	placed   func()
 	leaving  atomic.Bool // never goes back to false
+	started  time.Time
 
 	background background
 
@@ -90,6 +91,7 @@
 		views:    dependencies.Views,
 		peers:    dependencies.Peers,
 		placed:   dependencies.Placed,
+		started:  time.Now(),
 		bounds:   settings.Bounds,
 		pools:    make(map[rtid.Service]*rtplacement.Pools),
 		retries:  make(map[rtid.Service]*rtlimit.RetryShare),
--- a/internal/rtgateway/stages.go
+++ b/internal/rtgateway/stages.go
@@ -71,11 +71,21 @@
 func (g *Gateway) checkSize(q *request) *refusal {
 	limit := q.view.Configuration.Limits.Body
 	if limit > 0 && q.r.ContentLength > int64(limit) {
+		q.discardBody()
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
 	return nil
 }
 
+// discardBody reads a body that is refused, up to a bound. A caller that is
+// still sending could not read the refusal if the connection were closed.
+func (q *request) discardBody() {
+	control := http.NewResponseController(q.w)
+	_ = control.SetReadDeadline(time.Now().Add(discardTime)) // as in readBody
+	// What cannot be read is cut off by the server.
+	_, _ = io.CopyN(io.Discard, q.r.Body, maxBody)
+}
+
 // classify sets the deadline and the work.
 func (g *Gateway) classify(q *request) *refusal {
 	wait := q.facts.Remaining
@@ -101,6 +111,8 @@
 	defaultWait = 30 * time.Second
 	// maxBody bounds bodies where the configuration does not.
 	maxBody = 16 << 20
+	// discardTime bounds the reading of a body that is refused.
+	discardTime = 2 * time.Second
 )
 
 // readBody reads the whole body, so that it can be sent once more.
@@ -122,6 +134,7 @@
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
 	case int64(len(body)) > limit:
+		q.discardBody()
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
 	q.body = body
--- a/internal/rtlimit/window.go
+++ b/internal/rtlimit/window.go
@@ -25,15 +25,6 @@
 	return len(w.events)
 }
 
-// Next returns when the count falls below limit again, or now if it is below.
-func (w *Window) Next(now time.Time, limit int) time.Time {
-	count := w.Count(now)
-	if count < limit || limit <= 0 {
-		return now
-	}
-	return w.events[count-limit].Add(w.Span)
-}
-
 // RetryShare is one process's part of a retry budget that many processes
 // share: a fraction of its own requests and an equal part of a fixed
 // allowance, in each window. The parts add up to no more than the whole while
@@ -43,17 +34,24 @@
 	Allowance float64 // retries of all processes in a window
 	Processes int     // that may share the allowance; at least 1
 
+	started  time.Time
 	requests Window
 	retries  Window
 }
 
-// margin is the part of the budget that is used: windows of the processes
-// and of the judge do not begin at the same moments.
-const margin = 0.7
+const (
+	// margin is the part of the budget that is used: requests are counted where
+	// they arrive, a little later than here.
+	margin = 0.65
+	// startMargin is the part in the first window after a start. The process
+	// does not know what the one before it has spent.
+	startMargin = 0.25
+)
 
-// Start sets the length of the window.
-func (s *RetryShare) Start(span time.Duration) {
+// Start sets the length of the window. It must be called first.
+func (s *RetryShare) Start(span time.Duration, now time.Time) {
 	s.requests.Span, s.retries.Span = span, span
+	s.started = now
 }
 
 // Request counts a request for the first time.
@@ -61,7 +59,11 @@
 
 // Take reports whether one more retry is allowed, and spends it.
 func (s *RetryShare) Take(now time.Time) bool {
-	allowed := margin * (s.Ratio*float64(s.requests.Count(now)) + s.Allowance/float64(max(1, s.Processes)))
+	part := margin
+	if now.Sub(s.started) < s.retries.Span {
+		part = startMargin
+	}
+	allowed := part * (s.Ratio*float64(s.requests.Count(now)) + s.Allowance/float64(max(1, s.Processes)))
 	if float64(s.retries.Count(now)+1) > allowed {
 		return false
 	}
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -41,6 +41,11 @@
 	// shareTime is how long a silent peer keeps its part of shared budgets:
 	// longer than any window that they are counted over.
 	shareTime = 30 * time.Second
+	// startTime is how long a process does not rely on the peers that it has
+	// heard of: each speaks at least once within it. Until then it takes there
+	// to be startProcesses, about the largest deployment of today.
+	startTime      = 1200 * time.Millisecond
+	startProcesses = 30
 	// behindTime is how long the own source may take to catch up with a peer
 	// before its state is fetched.
 	behindTime = 500 * time.Millisecond
@@ -124,6 +129,8 @@
 	nudge   chan struct{} // capacity 1; receives when a digest should go out soon
 	learnt  chan struct{} // capacity 1; receives when a peer knows more
 
+	started time.Time
+
 	mu    sync.Mutex
 	peers map[rtid.Address]*peer
 }
@@ -146,6 +153,7 @@
 		client:  rtnet.Client(options.Network),
 		nudge:   make(chan struct{}, 1),
 		learnt:  make(chan struct{}, 1),
+		started: time.Now(),
 		peers:   make(map[rtid.Address]*peer),
 	}
 	group.SetSeeds(options.Seeds)
@@ -186,6 +194,9 @@
 			count++
 		}
 	}
+	if time.Since(g.started) < startTime {
+		return max(count, startProcesses)
+	}
 	return count
 }
 
