Count known peers for the choice, possible ones for budgets

Change: the choice uses the peers that are known to run; a seed names all that it knows to a newcomer at once, so that 0.5 s are enough.

--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -75,7 +75,7 @@
 		pools := g.poolsOf(q.service.Name)
 		pressure = rtplacement.PressureOf(candidates, pools.Now())
 		tight := pools.Tight(len(candidates), writers, pressure.Backlog, now)
-		choice, ok = rtplacement.Engine(q.service.Engine, work, candidates, rtplacement.Sight{Tight: tight, Gateways: g.peers()})
+		choice, ok = rtplacement.Engine(q.service.Engine, work, candidates, rtplacement.Sight{Tight: tight, Gateways: g.peers.Alive()})
 		pressure = rtplacement.PressureOf(candidates, tight)
 		decision = rtplacement.Admit(work, choice, pressure)
 	} else {
@@ -132,7 +132,7 @@
 		return true
 	}
 	whole := coldMargin * (service.ColdRate*g.bounds.ColdFactor + g.bounds.ColdSlack)
-	part := max(1, int(whole/float64(max(1, g.peers()))))
+	part := max(1, int(whole/float64(max(1, g.peers.Processes()))))
 	return g.startsOf(instance.ID).Count(now) < part
 }
 
@@ -257,7 +257,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	share := g.retryShare(service)
-	share.Processes = g.peers()
+	share.Processes = g.peers.Processes()
 	return share.Take(time.Now())
 }
 
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -44,6 +44,15 @@
 	View() *rtcatalog.View
 }
 
+// Peers counts the gateways of a deployment.
+type Peers interface {
+	// Alive returns those that are known to run, with this one.
+	Alive() int
+	// Processes returns those that may share budgets, with this one. It is
+	// never less than there are.
+	Processes() int
+}
+
 // Dependencies are what a gateway needs from its program.
 type Dependencies struct {
 	Network rtnet.Network
@@ -51,8 +60,8 @@
 	Metrics *rtmetric.Metrics
 	Dialect Dialect
 	Views   Views
-	Peers   func() int // processes that share budgets, with this one; at least 1
-	Placed  func()     // called after a placement that peers should know soon
+	Peers   Peers
+	Placed  func() // called after a placement that peers should know soon
 }
 
 // Gateway is one serving process.
@@ -63,7 +72,7 @@
 	metrics  *rtmetric.Metrics
 	dialect  Dialect
 	views    Views
-	peers    func() int
+	peers    Peers
 	placed   func()
 	leaving  atomic.Bool // never goes back to false
 	started  time.Time
--- a/internal/rtgateway/world_test.go
+++ b/internal/rtgateway/world_test.go
@@ -152,6 +152,12 @@
 	return c
 }
 
+// alone is a gateway without peers.
+type alone struct{}
+
+func (alone) Alive() int     { return 1 }
+func (alone) Processes() int { return 1 }
+
 // testView lets a test change what is published.
 type testView struct{ w *world }
 
@@ -184,7 +190,7 @@
 			Metrics: metrics,
 			Dialect: plainDialect{},
 			Views:   testView{w},
-			Peers:   func() int { return 1 },
+			Peers:   alone{},
 			Placed:  func() {},
 		})
 		task := rttask.Start(t.Context(), "gateway", w.gateway.Run)
--- a/internal/rtlimit/window.go
+++ b/internal/rtlimit/window.go
@@ -45,7 +45,7 @@
 	margin = 0.65
 	// startMargin is the part in the first window after a start. The process
 	// does not know what the one before it has spent.
-	startMargin = 0.25
+	startMargin = 0.3
 )
 
 // Start sets the length of the window. It must be called first.
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,9 +43,10 @@
 	// longer than any window that they are counted over.
 	shareTime = 30 * time.Second
 	// startTime is how long a process does not rely on the peers that it has
-	// heard of: each speaks at least once within it. Until then it takes there
-	// to be startProcesses, about the largest deployment of today.
-	startTime      = 1200 * time.Millisecond
+	// heard of: a seed that hears of it names all that it knows at once. Until
+	// then it takes there to be startProcesses, about the largest deployment of
+	// today.
+	startTime      = 500 * time.Millisecond
 	startProcesses = 30
 	// behindTime is how long the own source may take to catch up with a peer
 	// before its state is fetched.
@@ -131,6 +133,8 @@
 
 	started time.Time
 
+	newcomer atomic.Bool // a peer has been heard for the first time
+
 	mu    sync.Mutex
 	peers map[rtid.Address]*peer
 }
@@ -182,6 +186,19 @@
 	return known
 }
 
+// Alive returns how many processes are known to run, with this one.
+func (g *Group) Alive() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 1
+	for _, p := range g.peers {
+		if time.Since(p.heard) < aliveTime {
+			count++
+		}
+	}
+	return count
+}
+
 // Processes returns how many processes may share budgets, with this one. Seeds
 // that have not spoken count, because a process that has just started knows no
 // others.
@@ -256,7 +273,7 @@
 		case <-g.options.Feed.Changed():
 		}
 		peers := g.addresses()
-		g.sendAll(socket, peers, round%rosterRounds == 0)
+		g.sendAll(socket, peers, round%rosterRounds == 0 || g.newcomer.Swap(false))
 		round++
 		timer.Reset(interval * time.Duration(max(1, len(peers)/peersPerInterval)))
 	}
@@ -368,6 +385,8 @@
 	}
 	if !p.alive {
 		p.alive = true
+		g.newcomer.Store(true)
+		g.Nudge()
 		g.log.Info("Peer heard.", "peer", p.vm, "address", message.Address)
 	}
 	switch {
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -57,13 +57,14 @@
 	network := &rtnet.TCP{}
 	process := &gatewayProcess{path: path, settings: settings, log: log, metrics: metrics}
 	process.feed = rtfeed.New(platform.NewStore(network, settings.Store), platform.NewItems(log), log)
+	peers := &peerCount{}
 	process.gateway = rtgateway.New(settings.Gateway, rtgateway.Dependencies{
 		Network: network,
 		Log:     log,
 		Metrics: metrics,
 		Dialect: platform.Headers{},
 		Views:   process.feed,
-		Peers:   func() int { return process.group.Processes() },
+		Peers:   peers,
 		Placed:  func() { process.group.Nudge() },
 	})
 	process.group = rtpeer.New(rtpeer.Options{
@@ -75,9 +76,13 @@
 		Loads:   process.gateway,
 		Log:     log,
 	})
+	peers.Group = process.group
 	return process
 }
 
+// peerCount breaks the circle between gateway and group: each needs the other.
+type peerCount struct{ *rtpeer.Group }
+
 // Run serves until the context ends. The feed and the peers go on until the
 // last request has ended.
 func (p *gatewayProcess) Run(ctx context.Context) error {
