--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -45,12 +45,10 @@
 	tellPart = 60 * time.Millisecond
 )
 
-// chosen is where a request goes.
+// chosen is where a request goes, and whether now.
 type chosen struct {
-	rtplacement.Choice
-	flight   *rtplacement.Flight // must be ended; nil unless the request is sent
-	decision rtplacement.Decision
-	pressure rtplacement.Pressure
+	rtplacement.Verdict
+	flight *rtplacement.Flight // must be ended; nil unless the request is sent
 }
 
 // choose decides where to send a request, and whether now. It reports false if
@@ -63,32 +61,22 @@
 	candidates := g.candidates(view, q.service, tried, now)
 	work := q.work
 	work.Waited = now.Sub(q.arrived)
-	var choice rtplacement.Choice
-	var pressure rtplacement.Pressure
-	decision := rtplacement.Send
+	var found chosen
 	var ok bool
 	if q.service.Engine != nil {
-		writers := 0
-		for i := range candidates {
-			writers += candidates[i].Load.Writers
-		}
-		pools := g.poolsOf(q.service.Name)
-		pressure = rtplacement.PressureOf(candidates, pools.Now())
-		tight := pools.Tight(len(candidates), writers, pressure.Backlog, now)
-		choice, ok = rtplacement.Engine(q.service.Engine, work, candidates, rtplacement.Sight{Tight: tight, Gateways: g.peers.Alive()})
-		pressure = rtplacement.PressureOf(candidates, tight)
-		decision = rtplacement.Admit(work, choice, pressure)
+		found.Verdict, ok = g.schedulerOf(q.service.Name).Decide(q.service.Engine, work, candidates, g.peers.Alive(), now)
 	} else {
-		choice, ok = rtplacement.Plain(candidates)
+		found.Choice, ok = rtplacement.Plain(candidates)
 	}
-	if !ok || decision != rtplacement.Send {
-		return chosen{Choice: choice, decision: decision, pressure: pressure}, ok
+	if !ok || found.Decision != rtplacement.Send {
+		return found, ok
 	}
-	g.startsOf(choice.Target.ID).Add(now)
-	if choice.Part >= tellPart {
+	g.startsOf(found.Target.ID).Add(now)
+	if found.Part >= tellPart {
 		g.placed()
 	}
-	return chosen{Choice: choice, flight: g.book.Begin(choice, q.work, now), pressure: pressure}, true
+	found.flight = g.book.Begin(found.Choice, q.work, now)
+	return found, true
 }
 
 // candidates returns the targets that may take a request. Targets under
@@ -136,14 +124,14 @@
 	return g.startsOf(instance.ID).Count(now) < part
 }
 
-// poolsOf returns the pools of a service. The caller holds mu.
-func (g *Gateway) poolsOf(service rtid.Service) *rtplacement.Pools {
-	pools := g.pools[service]
-	if pools == nil {
-		pools = &rtplacement.Pools{}
-		g.pools[service] = pools
+// schedulerOf returns the scheduler of a service. The caller holds mu.
+func (g *Gateway) schedulerOf(service rtid.Service) *rtplacement.Scheduler {
+	scheduler := g.schedulers[service]
+	if scheduler == nil {
+		scheduler = &rtplacement.Scheduler{}
+		g.schedulers[service] = scheduler
 	}
-	return pools
+	return scheduler
 }
 
 // startsOf returns the recent sends to a target. The caller holds mu.
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -86,9 +86,9 @@
 				return d.giveUp("no target")
 			}
 			// A target may come back, or its rate allow one more, within the time.
-			choice.decision = rtplacement.Wait
+			choice.Decision = rtplacement.Wait
 		}
-		switch choice.decision {
+		switch choice.Decision {
 		case rtplacement.Refuse:
 			return d.refuseNow(choice)
 		case rtplacement.Wait:
@@ -133,7 +133,7 @@
 	}
 	left := time.Until(d.request.deadline)
 	// Callers wait for at most a third of their time.
-	return notRun("overloaded", min(choice.pressure.Backlog+shedPause, left/3))
+	return notRun("overloaded", min(choice.Pressure.Backlog+shedPause, left/3))
 }
 
 // settle decides what follows a send. It reports whether the request has
@@ -210,7 +210,7 @@
 	d.gateway.log.Info("Sent.", "request", d.request.facts.ID, "route", d.request.route.Name,
 		"target", choice.Target.ID, "prompt", d.request.work.Prompt,
 		"helpers", len(choice.Helpers), "predicted", choice.First.String(),
-		"backlog", choice.pressure.Backlog.String(),
+		"backlog", choice.Pressure.Backlog.String(),
 		"outcome", found.verdict.String(), "detail", found.detail,
 		"first", found.first.String(), "pause", found.pause.String(), "revision", d.request.view.Revision,
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String())
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -79,34 +79,34 @@
 
 	background background
 
-	mu       sync.Mutex
-	bounds   Bounds
-	book     rtplacement.Book
-	pools    map[rtid.Service]*rtplacement.Pools
-	retries  map[rtid.Service]*rtlimit.RetryShare
-	starts   map[rtid.Target]*rtlimit.Window // sends of the last second
-	suspects map[rtid.Target]suspicion
-	heard    map[rtid.Target]time.Time // last bytes of a target
+	mu         sync.Mutex
+	bounds     Bounds
+	book       rtplacement.Book
+	schedulers map[rtid.Service]*rtplacement.Scheduler
+	retries    map[rtid.Service]*rtlimit.RetryShare
+	starts     map[rtid.Target]*rtlimit.Window // sends of the last second
+	suspects   map[rtid.Target]suspicion
+	heard      map[rtid.Target]time.Time // last bytes of a target
 }
 
 // New returns a gateway that has not started.
 func New(settings Settings, dependencies Dependencies) *Gateway {
 	return &Gateway{
-		settings: settings,
-		network:  dependencies.Network,
-		log:      dependencies.Log.WithName("gateway"),
-		metrics:  dependencies.Metrics,
-		dialect:  dependencies.Dialect,
-		views:    dependencies.Views,
-		peers:    dependencies.Peers,
-		placed:   dependencies.Placed,
-		started:  time.Now(),
-		bounds:   settings.Bounds,
-		pools:    make(map[rtid.Service]*rtplacement.Pools),
-		retries:  make(map[rtid.Service]*rtlimit.RetryShare),
-		starts:   make(map[rtid.Target]*rtlimit.Window),
-		suspects: make(map[rtid.Target]suspicion),
-		heard:    make(map[rtid.Target]time.Time),
+		settings:   settings,
+		network:    dependencies.Network,
+		log:        dependencies.Log.WithName("gateway"),
+		metrics:    dependencies.Metrics,
+		dialect:    dependencies.Dialect,
+		views:      dependencies.Views,
+		peers:      dependencies.Peers,
+		placed:     dependencies.Placed,
+		started:    time.Now(),
+		bounds:     settings.Bounds,
+		schedulers: make(map[rtid.Service]*rtplacement.Scheduler),
+		retries:    make(map[rtid.Service]*rtlimit.RetryShare),
+		starts:     make(map[rtid.Target]*rtlimit.Window),
+		suspects:   make(map[rtid.Target]suspicion),
+		heard:      make(map[rtid.Target]time.Time),
 	}
 }
 
--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -35,7 +35,7 @@
 	fewWriters = 0.5
 	// idleBacklog is the reading below which engines have room for requests
 	// that are late in any case.
-	idleBacklog = 250 * time.Millisecond
+	idleBacklog = 50 * time.Millisecond
 )
 
 // Admit decides whether a request is sent with a choice, waits or is refused.
--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -40,12 +40,12 @@
 	// tightPart and longPart are the reads that one engine gets in one pass.
 	// With a pass of 50 ms they stay below the bound on pauses of tight requests
 	// (250 ms) even when two or three meet.
-	tightPart = 60 * time.Millisecond
+	tightPart = 30 * time.Millisecond
 	longPart  = 100 * time.Millisecond
 	// sharedView is how many gateways choose among all engines without getting
 	// into each other's way, and spareParts the engines beyond the parts of a
 	// prompt that more of them choose among.
-	sharedView = 4
+	sharedView = 2
 	spareParts = 6
 	// slotWait is the expected wait for each request beyond the slots.
 	slotWait = 100 * time.Millisecond
