Size the pools by shares of an engine's slots

Cause: numbers of writers that fit 16 slots are too dense for 12, and long reads waited for the aim while short prompts had engines to spare.

--- a/internal/rtplacement/pools.go
+++ b/internal/rtplacement/pools.go
@@ -20,15 +20,15 @@
 }
 
 const (
-	// easyWriters are the tight requests that an engine is meant for: half of
-	// the usual slots. denseWriters are those that it bears while long reads
-	// need engines: their reads still fit between the pauses.
-	easyWriters  = 7
-	denseWriters = 12
+	// easyShare is the part of an engine's slots that tight requests are meant to
+	// take, denseShare what they may take while long reads need engines. The rest
+	// is for those that come before the pools follow.
+	easyShare  = 0.65
+	denseShare = 0.75
 	// leastTight and leastLong are the engines that each pool keeps while there
 	// are enough.
 	leastTight = 2
-	leastLong  = 3
+	leastLong  = 4
 	// busyBacklog is the reading for each engine above which the pool of long
 	// reads takes engines that the other one can spare.
 	busyBacklog = 200 * time.Millisecond
@@ -42,18 +42,18 @@
 	growthTime     = 0.5 // seconds
 )
 
-// Tight returns how many of the engines are for tight requests, by the number
-// of those that are running on all and by the reading that waits at the other
-// engines.
-func (p *Pools) Tight(engines, writers int, backlog time.Duration, now time.Time) int {
+// Tight returns how many of the engines are for tight requests, by the slots of
+// an engine, the number of those requests that are running on all and the
+// reading that waits at the other engines.
+func (p *Pools) Tight(engines, slots, writers int, backlog time.Duration, now time.Time) int {
 	if engines <= 1 {
 		return engines
 	}
 	p.sample(writers, now)
 	expected := float64(writers) + max(0, p.growth*growthTime)
 	most := max(engines-leastLong, (engines+1)/2)
-	least := min(most, max(min(leastTight, engines/2), 1+int(expected/denseWriters)))
-	easy := min(most, max(least, 2+int(expected/easyWriters)))
+	least := min(most, max(min(leastTight, engines/2), 1+int(expected/(denseShare*float64(slots)))))
+	easy := min(most, max(least, 2+int(expected/(easyShare*float64(slots)))))
 	if p.tight == 0 {
 		p.tight = easy
 	}
--- a/internal/rtplacement/scheduler.go
+++ b/internal/rtplacement/scheduler.go
@@ -27,7 +27,7 @@
 	servedDecay = 0.95
 	// hugeFloor is the part of the other long prompts' service below which the
 	// longest ones go first, whatever it costs the others.
-	hugeFloor = 0.6
+	hugeFloor = 0.5
 )
 
 // add counts one request.
@@ -76,7 +76,7 @@
 		writers += candidates[i].Load.Writers
 	}
 	pressure := PressureOf(candidates, s.pools.Now())
-	tight := s.pools.Tight(len(candidates), writers, pressure.Backlog, now)
+	tight := s.pools.Tight(len(candidates), max(1, engine.Slots), writers, pressure.Backlog, now)
 	choice, ok := Engine(engine, work, candidates, Sight{Tight: tight, Gateways: gateways})
 	if !ok {
 		return Verdict{}, false
