--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -1,10 +1,6 @@
 package rtplacement
 
-import (
-	"time"
-
-	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
-)
+import "time"
 
 // Decision says what to do with a request now.
 type Decision int
@@ -33,6 +29,8 @@
 	shortPass = 50 * time.Millisecond
 	// fewWriters is the load at which longer parts harm few.
 	fewWriters = 0.5
+	// narrowShare leaves time for the first event and for what was mispredicted.
+	narrowShare = 0.75
 	// idleBacklog is the reading below which engines have room for requests
 	// that are late in any case.
 	idleBacklog = 50 * time.Millisecond
@@ -69,10 +67,7 @@
 // PressureOf returns the pressure on the engines for long reads, which follow
 // the first tight ones by Order.
 func PressureOf(candidates []Candidate, tight int) Pressure {
-	long := ordered(candidates)[min(tight, len(candidates)):]
-	if len(long) == 0 {
-		long = candidates
-	}
+	long := longPool(ordered(candidates), tight)
 	var sum Load
 	for i := range long {
 		sum = sum.Add(long[i].Load)
@@ -81,12 +76,4 @@
 	return Pressure{Backlog: sum.Reading / time.Duration(n), Writers: float64(sum.Requests) / float64(n)}
 }
 
-// narrow returns over how many engines a prompt is read that is late and
-// whose parts would harm many: so few that it is read in half of the time that
-// its caller has left.
-func narrow(engine *rtcatalog.Engine, work Work) int {
-	left := max(work.Patience-work.Waited, time.Second)
-	return max(1, int(2*ReadTime(engine, work.Prompt, 1)/left)+1)
-}
-
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Decision
--- a/internal/rtplacement/pools.go
+++ b/internal/rtplacement/pools.go
@@ -23,12 +23,12 @@
 	// easyShare is the part of an engine's slots that tight requests are meant to
 	// take, denseShare what they may take while long reads need engines. The rest
 	// is for those that come before the pools follow.
-	easyShare  = 0.65
-	denseShare = 0.75
+	easyShare  = 0.6
+	denseShare = 0.6
 	// leastTight and leastLong are the engines that each pool keeps while there
 	// are enough.
 	leastTight = 2
-	leastLong  = 4
+	leastLong  = 2
 	// busyBacklog is the reading for each engine above which the pool of long
 	// reads takes engines that the other one can spare.
 	busyBacklog = 200 * time.Millisecond
--- a/internal/rtplacement/scheduler.go
+++ b/internal/rtplacement/scheduler.go
@@ -28,6 +28,9 @@
 	// hugeFloor is the part of the other long prompts' service below which the
 	// longest ones go first, whatever it costs the others.
 	hugeFloor = 0.5
+	// widePart is the longest part of a prompt that all engines may read at the
+	// same time: the bound on pauses of long requests is a second.
+	widePart = 900 * time.Millisecond
 )
 
 // add counts one request.
@@ -77,17 +80,37 @@
 	}
 	pressure := PressureOf(candidates, s.pools.Now())
 	tight := s.pools.Tight(len(candidates), max(1, engine.Slots), writers, pressure.Backlog, now)
-	choice, ok := Engine(engine, work, candidates, Sight{Tight: tight, Gateways: gateways})
+	sight := Sight{Tight: tight, Gateways: gateways}
+	choice, ok := Engine(engine, work, candidates, sight)
 	if !ok {
 		return Verdict{}, false
 	}
 	decision := Admit(work, choice, pressure)
 	if !work.Tight() {
 		huge := ReadTime(engine, work.Prompt, min(len(candidates), 1+maxHelpers)) > gapPart
-		if decision == Wait && huge && s.huge.share() < hugeFloor*s.other.share() {
-			decision = Send
+		if huge && decision != Refuse {
+			choice, decision = s.decideHuge(engine, work, candidates, sight, choice, decision)
 		}
 		s.count(decision, huge)
 	}
 	return Verdict{Choice: choice, Decision: decision, Pressure: pressure}, true
 }
+
+// decideHuge decides about a prompt whose parts are long even if all engines
+// read them. Read by all, it would stop the service for seconds: it answers a
+// burst of short prompts that finds all engines taken by one prompt. It is read
+// by a few engines, late, as often as the floor asks for.
+func (s *Scheduler) decideHuge(engine *rtcatalog.Engine, work Work, candidates []Candidate, sight Sight,
+	choice Choice, decision Decision) (Choice, Decision) {
+	if s.huge.share() < hugeFloor*s.other.share() {
+		few := narrow(engine, work, candidates, sight)
+		if few.First <= work.Patience-work.Waited {
+			return few, Send
+		}
+		return few, Refuse
+	}
+	if choice.Part > widePart {
+		return choice, Refuse
+	}
+	return choice, decision
+}
