--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -29,8 +29,10 @@
 	shortPass = 50 * time.Millisecond
 	// fewWriters is the load at which longer parts harm few.
 	fewWriters = 0.5
-	// narrowShare leaves time for the first event and for what was mispredicted.
-	narrowShare = 0.75
+	// widePart is the longest part that engines may read at the same time: the
+	// bound on pauses of long requests is a second. A longer one would stop the
+	// service for seconds.
+	widePart = 900 * time.Millisecond
 	// idleBacklog is the reading below which engines have room for requests
 	// that are late in any case.
 	idleBacklog = 50 * time.Millisecond
@@ -43,14 +45,14 @@
 // does. A long part that would stretch the pauses of many waits as well.
 func Admit(work Work, choice Choice, pressure Pressure) Decision {
 	left := work.Patience - work.Waited
-	if choice.First > left {
+	switch {
+	case choice.First > left:
 		return Refuse
-	}
-	if work.Tight() || work.Aim <= 0 {
+	case work.Tight() || work.Aim <= 0:
 		return Send
 	}
 	aim := time.Duration(aimShare * float64(work.Aim))
-	harmful := choice.Part > gapPart && pressure.Writers > fewWriters
+	harmful := choice.Part > widePart || choice.Part > gapPart && pressure.Writers > fewWriters
 	// What an engine has got is read in its next pass, all at once.
 	full := pressure.Backlog > 0 && pressure.Backlog+choice.Part > gapPart-shortPass
 	inTime := work.Waited+choice.First <= aim
--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -93,16 +93,6 @@
 	return choose(engine, work, long, len(long), count), true
 }
 
-// narrow returns the choice of as few engines for a long prompt as can read it
-// within narrowShare of the time that its caller has left: those with the least
-// to do.
-func narrow(engine *rtcatalog.Engine, work Work, candidates []Candidate, sight Sight) Choice {
-	long := longPool(ordered(candidates), sight.Tight)
-	left := max(time.Duration(narrowShare*float64(work.Patience-work.Waited)), time.Second)
-	count := min(len(long), 1+maxHelpers, 1+int(ReadTime(engine, work.Prompt, 1)/left))
-	return choose(engine, work, long, len(long), count)
-}
-
 // longPool returns the engines for long reads of an order: those behind the
 // tight ones that do not read one prompt for longer than others can wait.
 func longPool(order []Candidate, tight int) []Candidate {
