--- a/internal/rtagent/draft_test.go
+++ b/internal/rtagent/draft_test.go
@@ -60,3 +60,26 @@
 		agent.want(wrong.Request, notRunOutcome, rtwire.Reason_REASON_TARGET)
 	})
 }
+
+// Guards against a draft that runs at an agent that has started again since
+// its entry chose it: what the entry believed of the agent's load and memory is
+// no longer true.
+func TestDraftForAnotherIncarnation(t *testing.T) {
+	inWorld(t, func(w *world) {
+		engine := w.engine(1, rtfake.EngineConfig{})
+		agent := w.agent(settings(1))
+		own := uint64(agent.Agent.node.Incarnation())
+		for _, meant := range []uint64{own - 1, own + 1} {
+			offer := agent.draft("a prompt", 50, time.Minute)
+			offer.Incarnation = meant
+			agent.send(offer, rtwire.Outcome_OUTCOME_NOT_RUN, rtwire.Reason_REASON_INCARNATION)
+		}
+		if used := engine.Stats().Used; used != 0 {
+			t.Errorf("%d tokens used by a refused draft", used)
+		}
+		offer := agent.draft("a prompt", 50, time.Minute)
+		offer.Incarnation = own
+		agent.accept(offer)
+		agent.want(offer.Request, rtwire.Outcome_OUTCOME_DONE, rtwire.Reason_REASON_NONE)
+	})
+}
--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -61,7 +61,7 @@
 	// Whatever follows on the connection belongs to no request.
 	_ = a.connection.Close()
 	// The response shows the outcome; a late error of the write adds nothing.
-	<-a.writing.Done()
+	_ = a.writing.Stop()
 }
 
 // Deadline bounds the next reads. The end of the context of Send bounds them
@@ -101,7 +101,7 @@
 	reader := bufio.NewReaderSize(connection, readBuffer)
 	request := &http.Request{Method: message.Method}
 	for range maxInterim {
-		response, err := http.ReadResponse(reader, request)
+		response, err := http.ReadResponse(reader, request) //nolint:bodyclose // Answer.Close closes the connection
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
