Refuse waiting requests when a gateway stops, and hopeless ones at once

Change: a gateway that stops refuses what waits, as not run; a prompt whose parts are over 0.9 s is refused after an eighth of its aim and told to come back after 4 s.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -111,6 +111,9 @@
 // wait lets a request wait for room. It reports whether the request has ended
 // meanwhile.
 func (d *delivery) wait(ctx context.Context) (*refusal, bool) {
+	if d.gateway.leaving.Load() {
+		return d.giveUp("leaving"), true
+	}
 	timer := time.NewTimer(waitStep)
 	defer timer.Stop()
 	select {
@@ -133,7 +136,7 @@
 	}
 	left := time.Until(d.request.deadline)
 	// Callers wait for at most a third of their time.
-	return notRun("overloaded", min(choice.Pressure.Backlog+shedPause, left/3))
+	return notRun("overloaded", min(rtplacement.ComeBack(choice.Choice, choice.Pressure), left/3))
 }
 
 // settle decides what follows a send. It reports whether the request has
--- a/internal/rtgateway/gateway_test.go
+++ b/internal/rtgateway/gateway_test.go
@@ -262,6 +262,40 @@
 	})
 }
 
+// Guards against a request that waits for room in a process that stops, and is
+// cut at the end of the time to stop though another process could serve it.
+func TestDrainRefusesWaiting(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		engineWorld(w)
+		for _, target := range w.targets {
+			target.set(hang)
+		}
+		replies := make(chan reply, 2)
+		send := func(id string) *rttask.Task {
+			return rttask.Start(w.t.Context(), "call", func(context.Context) error {
+				replies <- w.call(http.MethodPost, "/stream/x", headers(id, "Size", "100000"), "")
+				return nil
+			})
+		}
+		reading := send("id-1")
+		time.Sleep(50 * time.Millisecond)
+		waiting := send("id-2") // the engines have the first one to read
+		time.Sleep(50 * time.Millisecond)
+		if runs := w.all(); len(runs) != 1 {
+			t.Fatalf("%d sends, want that the second request waits", len(runs))
+		}
+		stopped := rttask.Start(w.t.Context(), "stop", func(context.Context) error { return w.stop() })
+		got := <-replies
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || got.took > time.Second {
+			t.Errorf("waiting request got %d after %v, %v", got.status, got.took, got.err)
+		}
+		<-replies
+		if err := errors.Join(<-stopped.Done(), <-reading.Done(), <-waiting.Done()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // ready asks as the balancer does.
 func (w *world) ready() int {
 	client := &http.Client{Transport: &http.Transport{
--- a/internal/rtmodel/policy.go
+++ b/internal/rtmodel/policy.go
@@ -16,12 +16,12 @@
 
 // Decide decides as the gateway does.
 func (p *Pooled) Decide(engine *rtcatalog.Engine, work rtplacement.Work, candidates []rtplacement.Candidate,
-	gateways int, now time.Time) (rtplacement.Choice, rtplacement.Decision) {
+	gateways int, now time.Time) (rtplacement.Choice, rtplacement.Decision, time.Duration) {
 	verdict, ok := p.scheduler.Decide(engine, work, candidates, gateways, now)
 	if !ok {
-		return rtplacement.Choice{}, rtplacement.Refuse
+		return rtplacement.Choice{}, rtplacement.Refuse, 0
 	}
-	return verdict.Choice, verdict.Decision
+	return verdict.Choice, verdict.Decision, rtplacement.ComeBack(verdict.Choice, verdict.Pressure)
 }
 
 // LeastInFlight sends each request at once to the engine with the fewest
@@ -30,8 +30,8 @@
 
 // Decide returns the engine with the least in flight.
 func (LeastInFlight) Decide(engine *rtcatalog.Engine, work rtplacement.Work, candidates []rtplacement.Candidate,
-	_ int, _ time.Time) (rtplacement.Choice, rtplacement.Decision) {
-	return least(engine, work, candidates), rtplacement.Send
+	_ int, _ time.Time) (rtplacement.Choice, rtplacement.Decision, time.Duration) {
+	return least(engine, work, candidates), rtplacement.Send, 0
 }
 
 // StaticSplit keeps a fixed part of the engines for tight requests.
@@ -41,14 +41,14 @@
 
 // Decide returns the engine with the least in flight of the part.
 func (s StaticSplit) Decide(engine *rtcatalog.Engine, work rtplacement.Work, candidates []rtplacement.Candidate,
-	_ int, _ time.Time) (rtplacement.Choice, rtplacement.Decision) {
+	_ int, _ time.Time) (rtplacement.Choice, rtplacement.Decision, time.Duration) {
 	border := int(s.Tight * float64(len(candidates)))
 	if work.Tight() {
 		candidates = candidates[:border]
 	} else {
 		candidates = candidates[border:]
 	}
-	return least(engine, work, candidates), rtplacement.Send
+	return least(engine, work, candidates), rtplacement.Send, 0
 }
 
 // least returns the candidate with the least in flight.
--- a/internal/rtmodel/run.go
+++ b/internal/rtmodel/run.go
@@ -44,10 +44,11 @@
 	Report   time.Duration // age at which gateways learn of each other's placements
 }
 
-// Policy decides about one request.
+// Policy decides about one request. The time is when a request that is refused
+// comes back.
 type Policy interface {
 	Decide(engine *rtcatalog.Engine, work rtplacement.Work, candidates []rtplacement.Candidate, gateways int,
-		now time.Time) (rtplacement.Choice, rtplacement.Decision)
+		now time.Time) (rtplacement.Choice, rtplacement.Decision, time.Duration)
 }
 
 // Result is what callers of one kind got.
@@ -77,9 +78,6 @@
 // maxFactor is the most that a load may be multiplied by.
 const maxFactor = 8
 
-// comeBack is when a caller that was refused comes back.
-const comeBack = 800 * time.Millisecond
-
 // step is how often waiting requests are decided about again.
 const step = 40 * time.Millisecond
 
@@ -206,10 +204,10 @@
 			Instance: e.instance, Load: gateway.book.Load(e.instance.ID, now), Order: uint32(i), Rank: r.random.Uint32(),
 		})
 	}
-	choice, decision := gateway.policy.Decide(&r.fleet.Engine, work, candidates, len(r.gateways), now)
+	choice, decision, comeBack := gateway.policy.Decide(&r.fleet.Engine, work, candidates, len(r.gateways), now)
 	switch decision {
 	case rtplacement.Refuse:
-		r.refuse(q)
+		r.refuse(q, comeBack)
 	case rtplacement.Wait:
 		r.at(r.now+step, func() { r.decide(q) })
 	default:
@@ -219,7 +217,7 @@
 }
 
 // refuse refuses a request. Its caller comes back once.
-func (r *runner) refuse(q *request) {
+func (r *runner) refuse(q *request, comeBack time.Duration) {
 	if q.back {
 		q.refused, q.ended = true, true
 		return
--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -27,6 +27,13 @@
 	gapPart = 550 * time.Millisecond
 	// shortPass is a pass in which nothing is read.
 	shortPass = 50 * time.Millisecond
+	// hopeShare divides the aim: for so long a prompt waits for a pool that can
+	// read it, before its caller is told to come back.
+	hopeShare = 8
+	// shedPause is when room is expected at engines that had none: a few passes.
+	// ebbPause is when the pools may have changed: loads swing within seconds.
+	shedPause = 400 * time.Millisecond
+	ebbPause  = 4 * time.Second
 	// fewWriters is the load at which longer parts harm few.
 	fewWriters = 0.5
 	// widePart is the longest part that engines may read at the same time: the
@@ -50,6 +57,8 @@
 		return Refuse
 	case work.Tight() || work.Aim <= 0:
 		return Send
+	case choice.Part > widePart && work.Waited > work.Aim/hopeShare:
+		return Refuse
 	}
 	aim := time.Duration(aimShare * float64(work.Aim))
 	harmful := choice.Part > widePart || choice.Part > gapPart && pressure.Writers > fewWriters
@@ -66,6 +75,14 @@
 	}
 }
 
+// ComeBack returns when a request that is refused has better prospects.
+func ComeBack(choice Choice, pressure Pressure) time.Duration {
+	if choice.Part > widePart {
+		return ebbPause
+	}
+	return pressure.Backlog + shedPause
+}
+
 // PressureOf returns the pressure on the engines for long reads, which follow
 // the first tight ones by Order.
 func PressureOf(candidates []Candidate, tight int) Pressure {
