--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -178,7 +178,11 @@
 		d.gateway.metrics.Scope.Counter("retries").Inc(1)
 		return false, nil
 	}
-	return true, d.giveUp(found.detail)
+	refused := d.giveUp("target " + found.verdict.String())
+	if refused != nil {
+		refused.detail = found.detail
+	}
+	return true, refused
 }
 
 // mayRepeat reports whether the route allows one more send after a verdict.
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -156,7 +156,7 @@
 // refuse answers with a refusal.
 func (g *Gateway) refuse(q *request, refused *refusal) {
 	g.log.Info("Refused.", "request", q.facts.ID, "status", refused.status, "reason", refused.reason,
-		"prompt", q.work.Prompt, "after", refused.after.String(), "version", version(q.view), "took", time.Since(q.arrived).String())
+		"detail", refused.detail, "prompt", q.work.Prompt, "after", refused.after.String(), "version", version(q.view), "took", time.Since(q.arrived).String())
 	g.metrics.Scope.Tagged(map[string]string{"reason": refused.reason}).Counter("refused").Inc(1)
 	refused.write(q.w)
 }
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -15,7 +15,6 @@
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeed"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtgateway"
-	"github.com/rhubarbtally/rhubarbtally/internal/rtlog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtpeer"
@@ -35,7 +34,7 @@
 		metrics: "rhubarbtally_gateway",
 		read:    platform.ReadSettings,
 		level:   func(platform.Settings) string { return "info" },
-		logs:    func(stderr io.Writer) io.Writer { return rtlog.NewQueue(stdout) },
+		queued:  true,
 		create: func(path string, settings platform.Settings, log logr.Logger, metrics *rtmetric.Metrics) (runner, error) {
 			return newGatewayProcess(path, settings, log, metrics), nil
 		},
--- a/internal/rtprogram/program.go
+++ b/internal/rtprogram/program.go
@@ -22,6 +22,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtsettings"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
 
 // Exit statuses.
@@ -55,7 +56,7 @@
 	metrics string // prefix of metric names
 	read    func(path string) (S, rtfinding.List)
 	level   func(S) string
-	logs    func(stderr io.Writer) io.Writer // nil for stderr itself
+	queued  bool // the log goes to standard output and never holds up the process
 	create  func(path string, settings S, log logr.Logger, metrics *rtmetric.Metrics) (runner, error)
 }
 
@@ -106,7 +107,7 @@
 	if findings.Err() != nil {
 		return exitSettings
 	}
-	if err := p.serve(path, settings, stderr); err != nil {
+	if err := p.serve(path, settings, stdout, stderr); err != nil {
 		_, _ = fmt.Fprintf(stderr, "%s: %v\n", p.name, err)
 		return exitFailed
 	}
@@ -132,12 +133,15 @@
 
 // serve runs the process until a signal. The handler stays installed, so that
 // a second signal does not end the process before its requests.
-func (p program[S]) serve(path string, settings S, stderr io.Writer) (err error) {
+func (p program[S]) serve(path string, settings S, stdout, stderr io.Writer) (err error) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	output := stderr
-	if p.logs != nil {
-		output = p.logs(stderr)
+	if p.queued {
+		queue := rtlog.NewQueue()
+		writing := rttask.Start(context.Background(), "log", func(ctx context.Context) error { return queue.Run(ctx, stdout) })
+		defer func() { err = errors.Join(err, writing.Stop()) }()
+		output = queue
 	}
 	log, err := rtlog.New(output, p.level(settings))
 	if err != nil {
