--- /dev/null
+++ b/internal/rtplacement/placement_test.go
@@ -0,0 +1,242 @@
+package rtplacement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+var now = time.Unix(1000, 0)
+
+// published are the costs of an engine as operators publish them.
+var published = &rtcatalog.Engine{
+	Slots: 16, Memory: 315000, Stride: 51,
+	Step: 850 * time.Microsecond, PerRequest: 4250 * time.Nanosecond, PerContext: 2850 * time.Nanosecond,
+	PerToken: 5650 * time.Nanosecond, PerPairs: 184 * time.Microsecond,
+}
+
+// engines returns idle candidates.
+func engines(n int) []Candidate {
+	var candidates []Candidate
+	for i := range n {
+		candidates = append(candidates, Candidate{
+			Instance: &rtcatalog.Instance{ID: rtid.Target(fmt.Sprint("e", i)), Slots: 16},
+			Order:    uint32(i),
+			Rank:     uint32(n - i),
+		})
+	}
+	return candidates
+}
+
+var (
+	short = Work{Prompt: 5000, Output: 1600, Aim: 300 * time.Millisecond, Gap: 250 * time.Millisecond, Patience: 2 * time.Second}
+	long  = Work{Prompt: 154000, Output: 800, Aim: 3 * time.Second, Gap: time.Second, Patience: 12 * time.Second}
+)
+
+// Guards against a prompt that is sent though it will be late, that waits though
+// there is room, or that is held though nothing can serve it.
+func TestAdmit(t *testing.T) {
+	busy := Pressure{Backlog: 400 * time.Millisecond, Writers: 4}
+	idle := Pressure{}
+	tests := []struct {
+		name     string
+		work     Work
+		waited   time.Duration
+		choice   Choice
+		pressure Pressure
+		want     Decision
+	}{
+		{"short, in time", short, 0, Choice{First: 100 * time.Millisecond, Part: 30 * time.Millisecond}, busy, Send},
+		{"short, late", short, 0, Choice{First: time.Second, Part: 30 * time.Millisecond}, busy, Send},
+		{"short, caller would have left", short, 0, Choice{First: 3 * time.Second}, idle, Refuse},
+		{"long, room", long, 0, Choice{First: time.Second, Part: 200 * time.Millisecond}, idle, Send},
+		{"long, engines have enough to read", long, 0, Choice{First: time.Second, Part: 200 * time.Millisecond}, busy, Wait},
+		{"long, late and engines busy", long, 4 * time.Second, Choice{First: time.Second, Part: 100 * time.Millisecond}, busy, Wait},
+		{"long, late and engines idle", long, 4 * time.Second, Choice{First: time.Second, Part: 100 * time.Millisecond}, idle, Send},
+		{"long, caller would have left", long, 11500 * time.Millisecond, Choice{First: time.Second}, idle, Refuse},
+		{"parts over the pauses of writers", long, 0, Choice{First: time.Second, Part: 700 * time.Millisecond}, Pressure{Writers: 2}, Wait},
+		{"such parts and nobody writes", long, 0, Choice{First: time.Second, Part: 700 * time.Millisecond}, idle, Send},
+		{"parts that stop the service", long, 0, Choice{First: 2 * time.Second, Part: time.Second}, idle, Wait},
+		{"the same a moment later", long, 400 * time.Millisecond, Choice{First: 2 * time.Second, Part: time.Second}, idle, Refuse},
+	}
+	for _, test := range tests {
+		test.work.Waited = test.waited
+		if got := Admit(test.work, test.choice, test.pressure); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// Guards against long parts beside short requests and against short requests
+// that queue while an engine is free.
+func TestEngine(t *testing.T) {
+	const tight = 6
+	crowded := engines(18)
+	for i := range tight {
+		crowded[i].Load.Requests = 60
+	}
+	reading := engines(18)
+	for i := range 3 {
+		reading[i].Load.Reading = 400 * time.Millisecond
+	}
+	blocked := engines(18)
+	for i := tight; i < 16; i++ {
+		blocked[i].Load.Reading = 5 * time.Second
+	}
+	tests := []struct {
+		name       string
+		work       Work
+		candidates []Candidate
+		least      int // order of the engines that may be used
+		most       int
+		parts      int
+	}{
+		{"short", short, engines(18), 0, tight, 2},
+		{"short, its pool full", short, crowded, tight, 18, 2},
+		{"short, some of its pool read", short, reading, 3, tight, 2},
+		{"long", long, engines(18), tight, 18, 12},
+		{"long, most of its pool taken for long", long, blocked, 16, 18, 2},
+		{"very short", Work{Prompt: 300, Gap: short.Gap, Aim: short.Aim, Patience: short.Patience}, engines(18), 0, tight, 1},
+	}
+	for _, test := range tests {
+		choice, ok := Engine(published, test.work, test.candidates, Sight{Tight: tight, Gateways: 1})
+		if !ok {
+			t.Errorf("%s: no choice", test.name)
+			continue
+		}
+		used := append([]*rtcatalog.Instance{choice.Target}, choice.Helpers...)
+		if len(used) != test.parts {
+			t.Errorf("%s: read in %d parts, want %d", test.name, len(used), test.parts)
+		}
+		for _, instance := range used {
+			i := slices.IndexFunc(test.candidates, func(c Candidate) bool { return c.Instance == instance })
+			if i < test.least || i >= test.most {
+				t.Errorf("%s: engine %d used, want %d to %d", test.name, i, test.least, test.most-1)
+			}
+		}
+	}
+	if _, ok := Engine(published, short, nil, Sight{}); ok {
+		t.Error("choice without engines")
+	}
+}
+
+// Guards against pools that do not follow a swing within about a second, or
+// leave one kind without engines.
+func TestPools(t *testing.T) {
+	const fleet, slots = 20, 16
+	var pools Pools
+	at := now
+	run := func(writers int, backlog, d time.Duration) int {
+		tight := 0
+		for end := at.Add(d); at.Before(end); at = at.Add(10 * time.Millisecond) {
+			tight = pools.Tight(fleet, slots, writers, backlog, at)
+			if tight < 1 || tight > fleet-leastLong {
+				t.Fatalf("%d engines for tight requests", tight)
+			}
+		}
+		return tight
+	}
+	if got := run(160, 0, 2*time.Second); got*slots < 160 {
+		t.Errorf("%d engines for 160 tight requests", got)
+	}
+	if got := run(20, 400*time.Millisecond, 1500*time.Millisecond); got > 4 {
+		t.Errorf("%d engines for 20 tight requests while long reads wait", got)
+	}
+	if got := run(160, 400*time.Millisecond, 20*time.Millisecond); got*slots < 160 {
+		t.Errorf("%d engines right after the burst began", got)
+	}
+	for engines := range 4 {
+		var few Pools
+		if got := few.Tight(engines, slots, 100, 0, now); got > engines || engines > 0 && got < 1 {
+			t.Errorf("%d of %d engines for tight requests", got, engines)
+		}
+	}
+}
+
+// Guards against more memory than an engine has, and against orders for
+// prompts that fit.
+func TestHolds(t *testing.T) {
+	tests := []struct {
+		name   string
+		prompt rtid.Tokens
+		used   rtid.Tokens // at each other engine
+		ok     bool
+		holds  int
+	}{
+		{"fits", 200000, 0, true, 0},
+		{"a little over", 300000, 0, true, 1},
+		{"twice an engine", 630000, 0, true, 2},
+		{"others are half full", 630000, 160000, true, 3},
+		{"no memory anywhere", 630000, 310000, false, 0},
+	}
+	for _, test := range tests {
+		candidates := engines(8)
+		for i := range candidates[1:] {
+			candidates[i+1].Load.Memory = test.used
+		}
+		holds, ok := Holds(published, Work{Prompt: test.prompt, Output: 1000}, candidates[0].Instance, candidates)
+		if ok != test.ok || ok && len(holds) != test.holds {
+			t.Errorf("%s: %d holds, %v", test.name, len(holds), ok)
+		}
+		held := rtid.Tokens(0)
+		for _, hold := range holds {
+			held += hold.Tokens
+			if hold.Target == candidates[0].Instance || hold.Tokens > published.Memory-test.used {
+				t.Errorf("%s: %d tokens at %s", test.name, hold.Tokens, hold.Target.ID)
+			}
+		}
+		if ok && test.prompt-held > published.Memory {
+			t.Errorf("%s: %d tokens are left for the target", test.name, test.prompt-held)
+		}
+	}
+}
+
+// Guards against work that is counted twice, forgotten or kept after its end.
+func TestBook(t *testing.T) {
+	var book Book
+	candidates := engines(3)
+	choice := Choice{
+		Target: candidates[0].Instance, Helpers: []*rtcatalog.Instance{candidates[1].Instance},
+		First: 500 * time.Millisecond, Part: 400 * time.Millisecond,
+	}
+	flight := book.Begin(choice, long, now)
+	if l := book.Load("e0", now); l.Requests != 1 || l.Reading != choice.Part || l.Memory != long.Prompt+long.Output {
+		t.Errorf("target: %+v", l)
+	}
+	if l := book.Load("e1", now); l.Requests != 0 || l.Reading != choice.Part || l.Memory != 0 {
+		t.Errorf("helper: %+v", l)
+	}
+	book.Report("peer", map[rtid.Target]Load{"e0": {Requests: 2, Reading: time.Second}}, now)
+	if l := book.Load("e0", now.Add(time.Second)); l.Requests != 3 || l.Reading != choice.Part/4 {
+		t.Errorf("a second later: %+v", l)
+	}
+	if l := book.Load("e0", now.Add(reportLife+time.Second)); l.Requests != 1 {
+		t.Errorf("a silent peer still counts: %+v", l)
+	}
+	book.First(flight)
+	if l := book.Load("e0", now); l.Reading != time.Second || book.Load("e1", now) != (Load{}) {
+		t.Errorf("after the first event: %+v, %+v", l, book.Load("e1", now))
+	}
+	book.End(flight)
+	book.End(flight)
+	if own := book.Own(now); len(own) != 0 {
+		t.Errorf("left at the end: %v", own)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{20, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var scheduler Scheduler
+			candidates := engines(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				scheduler.Decide(published, long, candidates, 4, now)
+			}
+		})
+	}
+}
