Test attempts, older states and repeated changes

Of 18 mutations of the gateway's mechanisms three survived: unbounded attempts (two targets hid it), states of a late peer, changes that a read has shown already. Each has a test now, red with the mutation.

--- a/internal/rtfeed/feed_test.go
+++ b/internal/rtfeed/feed_test.go
@@ -293,6 +293,48 @@
 	})
 }
 
+// Guards against a value that goes back while changes are repeated that a later
+// page of a read has shown already.
+func TestRepeatedChanges(t *testing.T) {
+	var state State
+	steps := []struct {
+		change Change
+		want   string // value of the item; "none" if there is none
+	}{
+		{Change{Item: Item{Key: "config", Value: []byte("v7"), Revision: 7}}, "v7"},
+		{Change{Item: Item{Key: "config", Value: []byte("v6"), Revision: 6}}, "v7"},
+		{Change{Item: Item{Key: "config", Revision: 5}, Removed: true}, "v7"},
+		{Change{Item: Item{Key: "config", Value: []byte("v7"), Revision: 7}}, "v7"},
+		{Change{Item: Item{Key: "config", Value: []byte("v8"), Revision: 8}}, "v8"},
+		{Change{Item: Item{Key: "config", Revision: 9}, Removed: true}, "none"},
+	}
+	for i, step := range steps {
+		state.Apply(step.change)
+		got := "none"
+		if state.Has("config") {
+			got = string(state.Items["config"].Value)
+		}
+		if got != step.want {
+			t.Errorf("step %d: %s, want %s", i, got, step.want)
+		}
+	}
+}
+
+// Guards against a target that comes back from the state of a peer that is
+// behind, as one that was cut off or paused sends it.
+func TestOlderState(t *testing.T) {
+	feed := New(newFakeStore(), keyDecoder{}, logr.Discard())
+	item := Change{Item: Item{Key: "t1", Revision: 3}}
+	feed.Adopt(Delta{Revision: 3, Full: true, Changes: []Change{item}}, "peer")
+	feed.Adopt(Delta{Revision: 4, Changes: []Change{{Item: Item{Key: "t1", Revision: 4}, Removed: true}}}, "peer")
+	for _, full := range []bool{true, false} {
+		feed.Adopt(Delta{Revision: 3, Full: full, Changes: []Change{item}}, "late peer")
+		if got := keys(feed); got != "" || feed.Revision() != 4 {
+			t.Errorf("knows %q at revision %d after an older state", got, feed.Revision())
+		}
+	}
+}
+
 // Guards against states that differ between processes at one revision, and
 // against a revision that goes back: two processes learn random changes from a
 // store that forgets, and from each other.
--- a/internal/rtgateway/gateway_test.go
+++ b/internal/rtgateway/gateway_test.go
@@ -116,6 +116,25 @@
 	}
 }
 
+// Guards against a request that is sent to more targets than its route allows.
+func TestAttempts(t *testing.T) {
+	for _, route := range testRoutes {
+		t.Run(route.Name, func(t *testing.T) {
+			for _, fault := range outcomes {
+				inWorld(t, 5, func(w *world) {
+					for _, target := range w.targets {
+						target.set(fault.script)
+					}
+					w.call(http.MethodPost, route.Prefix+"x", headers("id-1"), "")
+					if sends := len(w.all()); sends > route.Attempts {
+						t.Errorf("%s: sent to %d targets, %d are allowed", fault.name, sends, route.Attempts)
+					}
+				})
+			}
+		})
+	}
+}
+
 // Guards against work for a target that has left, or whose availability zone is
 // out, or whose address another one has.
 func TestForbiddenTargets(t *testing.T) {
