--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -1,6 +1,7 @@
 package rtgateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -189,18 +190,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.forget(now)
 	suspects := make(map[rtid.Target]time.Duration)
 	for target, s := range g.suspects {
-		switch {
-		case now.Sub(s.until) > goneTime:
-			delete(g.suspects, target)
-		case s.failures > 0 && s.until.After(now):
+		if s.failures > 0 && s.until.After(now) {
 			suspects[target] = s.until.Sub(now)
 		}
 	}
 	return suspects
 }
 
+// forget drops what is known of targets that have not been used for a while, so
+// that replaced ones take no memory. The caller holds mu.
+func (g *Gateway) forget(now time.Time) {
+	maps.DeleteFunc(g.suspects, func(_ rtid.Target, s suspicion) bool { return now.Sub(s.until) > goneTime })
+	maps.DeleteFunc(g.heard, func(_ rtid.Target, heard time.Time) bool { return now.Sub(heard) > goneTime })
+	maps.DeleteFunc(g.starts, func(_ rtid.Target, starts *rtlimit.Window) bool { return starts.Count(now) == 0 })
+}
+
 // Avoid avoids targets that a peer has found to fail, unless this process knows
 // better: it has found so itself, or has just been answered by the target.
 func (g *Gateway) Avoid(targets map[rtid.Target]time.Duration) {
--- a/internal/rtgateway/refusal.go
+++ b/internal/rtgateway/refusal.go
@@ -9,8 +9,8 @@
 // refusal is an answer that this process makes itself.
 type refusal struct {
 	status int
-	reason string // one of a fixed set
-	detail string // for the log
+	reason string        // one of a fixed set
+	detail string        // for the log
 	after  time.Duration // when the caller may come back; 0 for no word
 }
 
