--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -22,9 +22,8 @@
 	// aimShare is the part of the aim that a prediction may use up; the rest
 	// covers what other processes send meanwhile.
 	aimShare = 0.85
-	// gapPart is the longest part of a prompt that all writers of long requests
-	// bear: their tightest usual bound on pauses is 600 ms. Longer parts harm
-	// some, which the largest prompts are worth.
+	// gapPart is the longest part of a prompt that writers of long requests
+	// bear: their tightest usual bound on pauses is 600 ms.
 	gapPart = 550 * time.Millisecond
 	// shortPass is a pass in which nothing is read.
 	shortPass = 50 * time.Millisecond
@@ -35,6 +34,8 @@
 	// ebbPause is when the pools may have changed: loads swing within seconds.
 	shedPause = 400 * time.Millisecond
 	ebbPause  = 4 * time.Second
+	// fewWriters is the load at which longer parts harm few.
+	fewWriters = 0.5
 	// widePart is the longest part that engines may read at the same time: the
 	// bound on pauses of long requests is a second. A longer one would stop the
 	// service for seconds.
@@ -60,13 +61,9 @@
 		return Refuse
 	}
 	aim := time.Duration(aimShare * float64(work.Aim))
+	harmful := choice.Part > widePart || choice.Part > gapPart && pressure.Writers > fewWriters
 	// What an engine has got is read in its next pass, all at once.
-	bound := gapPart - shortPass
-	if choice.Part > gapPart {
-		bound = widePart
-	}
-	full := pressure.Backlog > 0 && pressure.Backlog+choice.Part > bound
-	harmful := choice.Part > widePart
+	full := pressure.Backlog > 0 && pressure.Backlog+choice.Part > gapPart-shortPass
 	inTime := work.Waited+choice.First <= aim
 	switch {
 	case inTime && !harmful && !full:
