Serve the largest prompts in parts up to 1.3 s

Change: a part up to 1.3 s is sent when the engines' backlog allows, whoever writes.

Kept for the users whose prompts are the largest.

--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -15,15 +15,15 @@
 // Pressure is how busy the engines for long reads are.
 type Pressure struct {
 	Backlog time.Duration // of reading, mean over the engines
-	Writers float64       // requests an engine, mean
 }
 
 const (
 	// aimShare is the part of the aim that a prediction may use up; the rest
 	// covers what other processes send meanwhile.
 	aimShare = 0.85
-	// gapPart is the longest part of a prompt that writers of long requests
-	// bear: their tightest usual bound on pauses is 600 ms.
+	// gapPart is the longest part of a prompt that all writers of long requests
+	// bear: their tightest usual bound on pauses is 600 ms. Longer ones harm some
+	// of them, without which the largest tenth of prompts would not be served.
 	gapPart = 550 * time.Millisecond
 	// shortPass is a pass in which nothing is read.
 	shortPass = 50 * time.Millisecond
@@ -34,12 +34,10 @@
 	// ebbPause is when the pools may have changed: loads swing within seconds.
 	shedPause = 400 * time.Millisecond
 	ebbPause  = 4 * time.Second
-	// fewWriters is the load at which longer parts harm few.
-	fewWriters = 0.5
-	// widePart is the longest part that engines may read at the same time: the
-	// bound on pauses of long requests is a second. A longer one would stop the
-	// service for seconds.
-	widePart = 900 * time.Millisecond
+	// widePart is the longest part that engines may read at the same time: a
+	// prompt of 400,000 tokens by 14 of them. A longer one would stop the service
+	// for seconds.
+	widePart = 1300 * time.Millisecond
 	// idleBacklog is the reading below which engines have room for requests
 	// that are late in any case.
 	idleBacklog = 50 * time.Millisecond
@@ -49,7 +47,7 @@
 // It answers more long prompts than the engines can read in time: sent at once,
 // they would all be late, because reading is shared. A request is sent while it
 // will be in time; later it waits for engines with room, as long as its caller
-// does. A long part that would stretch the pauses of many waits as well.
+// does. Parts that would stop the service wait for more engines.
 func Admit(work Work, choice Choice, pressure Pressure) Decision {
 	left := work.Patience - work.Waited
 	switch {
@@ -61,9 +59,13 @@
 		return Refuse
 	}
 	aim := time.Duration(aimShare * float64(work.Aim))
-	harmful := choice.Part > widePart || choice.Part > gapPart && pressure.Writers > fewWriters
 	// What an engine has got is read in its next pass, all at once.
-	full := pressure.Backlog > 0 && pressure.Backlog+choice.Part > gapPart-shortPass
+	bound := gapPart - shortPass
+	if choice.Part > bound {
+		bound = widePart
+	}
+	full := pressure.Backlog > 0 && pressure.Backlog+choice.Part > bound
+	harmful := choice.Part > widePart
 	inTime := work.Waited+choice.First <= aim
 	switch {
 	case inTime && !harmful && !full:
@@ -92,7 +94,7 @@
 		sum = sum.Add(long[i].Load)
 	}
 	n := max(1, len(long))
-	return Pressure{Backlog: sum.Reading / time.Duration(n), Writers: float64(sum.Requests) / float64(n)}
+	return Pressure{Backlog: sum.Reading / time.Duration(n)}
 }
 
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Decision
