Give long parts only to engines with little to read

Cause: a part of half a second was added to a backlog of up to 0.7 s, and the pass broke the pauses of all writers there.

--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -38,6 +38,9 @@
 	// prompt of 400,000 tokens by 14 of them. A longer one would stop the service
 	// for seconds.
 	widePart = 1300 * time.Millisecond
+	// emptyBacklog is the reading that adds little to a part that is long by
+	// itself.
+	emptyBacklog = 100 * time.Millisecond
 	// idleBacklog is the reading below which engines have room for requests
 	// that are late in any case.
 	idleBacklog = 50 * time.Millisecond
@@ -60,11 +63,8 @@
 	}
 	aim := time.Duration(aimShare * float64(work.Aim))
 	// What an engine has got is read in its next pass, all at once.
-	bound := gapPart - shortPass
-	if choice.Part > bound {
-		bound = widePart
-	}
-	full := pressure.Backlog > 0 && pressure.Backlog+choice.Part > bound
+	// Only engines with little to read take a part that is long by itself.
+	full := pressure.Backlog > max(gapPart-shortPass-choice.Part, emptyBacklog)
 	harmful := choice.Part > widePart
 	inTime := work.Waited+choice.First <= aim
 	switch {
