--- a/internal/rtgateway/reservation_test.go
+++ b/internal/rtgateway/reservation_test.go
@@ -16,7 +16,7 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	until  map[string]time.Time // end of the hold
-	lost   int                  // releases in a row that had no answer
+	lost   map[string]int       // releases of a ticket in a row that had no answer
 }
 
 // maxLost bounds these; nothing can be released if all orders are lost.
@@ -60,13 +60,9 @@
 // later, with or without an answer.
 func (l *ledger) order(order string) int {
 	drawn := l.draw(8)
-	if strings.HasPrefix(order, "release") {
-		if drawn > 2 || l.lost == maxLost {
-			l.lost = 0
-			l.apply(order)
-			return http.StatusOK
-		}
-		l.lost++
+	if strings.HasPrefix(order, "release") && l.answered(order, drawn > 2) {
+		l.apply(order)
+		return http.StatusOK
 	}
 	switch drawn {
 	case 0:
@@ -85,6 +81,18 @@
 	return http.StatusOK
 }
 
+// answered counts a release and reports whether it is answered.
+func (l *ledger) answered(order string, drawn bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if drawn || l.lost[order] == maxLost {
+		l.lost[order] = 0
+		return true
+	}
+	l.lost[order]++
+	return false
+}
+
 // Guards against memory that nobody uses and that stays set aside longer than
 // engines' operators allow, whatever becomes of orders and requests, and
 // against a ticket that two sends use. Orders that are carried out late may set
@@ -100,7 +108,7 @@
 	for seed := range uint64(seeds) {
 		inWorld(t, 24, func(w *world) {
 			engineWorld(w)
-			l := &ledger{random: rand.New(rand.NewPCG(seed, 0)), until: make(map[string]time.Time)}
+			l := &ledger{random: rand.New(rand.NewPCG(seed, 0)), until: make(map[string]time.Time), lost: make(map[string]int)}
 			used := make(map[string]int)
 			for _, target := range w.targets {
 				target.orderly = l.order
