Let both interfaces run requests through one delivery

Ruled out: one relay for both: agents answer with frames of a ledger and the platform's targets over HTTP, so it would hold two protocols behind one name. Change: internal/rtdelivery has the verdicts, the limits and the loop of choose, offer, settle. Gateway and entry supply the choice, the offer and the retry budget. Refusals after an exhausted retry budget say so. Test: TestRun (table) and TestPromises (all sequences of verdicts, all limits). Conclusion: what remains apart is decoding, choosing and relaying.

--- a/internal/rtentry/draft.go
+++ b/internal/rtentry/draft.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdelivery"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtdocument"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
@@ -14,9 +15,9 @@
 	"github.com/rhubarbtally/rhubarbtally/pkg/rtapi"
 )
 
-// maxRetries is the number of further targets that a refused draft is offered
-// to.
-const maxRetries = 2
+// draftLimits bound the offers of a draft: to two further targets after
+// refusals, and to one after the loss of a target that had accepted it.
+var draftLimits = rtdelivery.Limits{Offers: 4, Refusals: 2, Losses: 1, Repeatable: true}
 
 // draft is a drafting request on its way through the filters.
 type draft struct {
@@ -60,7 +61,13 @@
 	defer cancel()
 	e.drafts.Add(1)
 	defer e.drafts.Add(-1)
-	delivery := &delivery{entry: e, draft: d, events: newEvents(x.w, 0, d.deadline)}
+	delivery := &delivery{
+		entry:    e,
+		draft:    d,
+		events:   newEvents(x.w, 0, d.deadline),
+		balancer: e.balancer(d.service),
+		course:   rtdelivery.Course{Limits: draftLimits},
+	}
 	return delivery.run(ctx)
 }
 
@@ -111,30 +118,64 @@
 
 // delivery is the state of a draft from the first offer to its end.
 type delivery struct {
-	entry   *Entry
-	draft   *draft
-	events  *events
-	tried   []rtid.Target // targets that have refused or lost the draft
-	retries int
-	moved   bool // an accepted draft has been offered to another target
+	entry    *Entry
+	draft    *draft
+	events   *events
+	balancer *balancer
+	course   rtdelivery.Course
+	place    placement     // of the offer that runs
+	tried    []rtid.Target // targets that have refused or lost the draft
+	last     result        // of the last offer
 }
 
 // run offers the draft until it has an end.
 func (d *delivery) run(ctx context.Context) *refusal {
-	balancer := d.entry.balancer(d.draft.service)
 	d.entry.limits.offer()
-	last := result{reason: rtapi.ReasonCapacity, detail: "no target can take the request now"}
-	for {
-		place, ok := balancer.choose(d.draft, d.tried)
-		if !ok {
-			return d.end(rtapi.NotRun, last)
-		}
-		d.tried = append(d.tried, place.view.Target)
-		last = d.try(ctx, place)
-		if done, refused := d.settle(last); done {
-			return refused
+	d.last = result{reason: rtapi.ReasonCapacity, detail: "no target can take the request now"}
+	switch d.course.Run(ctx, d) {
+	case rtdelivery.Answered:
+		if d.last.verdict == rtdelivery.CallerGone {
+			d.entry.countEnd(rtapi.Unknown, rtapi.ReasonCancelled)
+			return nil
 		}
+		d.entry.countEnd(d.last.outcome, d.last.reason)
+		d.events.end(d.last.outcome, d.last.reason, d.last.final)
+		return nil
+	case rtdelivery.OverBudget:
+		d.last.detail = "the retry budget is used up after a refusal: " + string(d.last.reason)
+		d.last.reason = rtapi.ReasonBudget
+	}
+	return d.end()
+}
+
+// Choose chooses the target of the next offer.
+func (d *delivery) Choose(context.Context) bool {
+	var ok bool
+	d.place, ok = d.balancer.choose(d.draft, d.tried)
+	if ok {
+		d.tried = append(d.tried, d.place.view.Target)
+	}
+	return ok
+}
+
+// Offer offers the draft to the chosen target and relays the answer.
+func (d *delivery) Offer(ctx context.Context) rtdelivery.Verdict {
+	d.last = d.try(ctx, d.place)
+	return d.last.verdict
+}
+
+// Spend takes a retry after a refusal from the budget. A draft that has lost
+// its target is moved once, which needs no budget: it has been admitted.
+func (d *delivery) Spend(after rtdelivery.Verdict) bool {
+	if after != rtdelivery.Refused {
+		d.entry.metrics.Scope.Counter("moves").Inc(1)
+		return true
+	}
+	if !d.entry.limits.takeRetry() {
+		return false
 	}
+	d.entry.metrics.Scope.Counter("retries").Inc(1)
+	return true
 }
 
 // try offers the draft to one target and relays the answer.
@@ -143,7 +184,7 @@
 	home := homeOf(place.view, rtid.KindDraft, organisation)
 	request := rtid.NewRequest(home)
 	offered := d.entry.offerDraft(ctx, place.view, d.offerOf(request, place.view))
-	if offered.verdict != verdictAccepted {
+	if !offered.accepted {
 		place.refused()
 		return offered
 	}
@@ -155,41 +196,6 @@
 	return relay.run(ctx)
 }
 
-// settle decides what follows the result of one target. It reports whether
-// the draft has ended.
-func (d *delivery) settle(found result) (bool, *refusal) {
-	switch found.verdict {
-	case verdictFinal:
-		d.entry.countEnd(found.outcome, found.reason)
-		d.events.end(found.outcome, found.reason, found.final)
-		return true, nil
-	case verdictCallerGone:
-		d.entry.countEnd(rtapi.Unknown, rtapi.ReasonCancelled)
-		return true, nil
-	case verdictRefused:
-		if !retriesElsewhere(found.reason) || d.retries == maxRetries {
-			return true, d.end(rtapi.NotRun, found)
-		}
-		if !d.entry.limits.takeRetry() {
-			found.detail = "the retry budget is used up after a refusal: " + string(found.reason)
-			found.reason = rtapi.ReasonBudget
-			return true, d.end(rtapi.NotRun, found)
-		}
-		d.retries++
-		d.entry.metrics.Scope.Counter("retries").Inc(1)
-		return false, nil
-	case verdictGone:
-		if d.moved {
-			return true, d.end(d.lostOutcome(), found)
-		}
-		d.moved = true
-		d.entry.metrics.Scope.Counter("moves").Inc(1)
-		return false, nil
-	default:
-		return true, d.end(rtapi.Unknown, found)
-	}
-}
-
 // retriesElsewhere reports whether another target may accept what one refused.
 func retriesElsewhere(reason rtapi.Reason) bool {
 	switch reason {
@@ -200,24 +206,26 @@
 	}
 }
 
-// lostOutcome returns the outcome of a draft whose targets were lost. One that
-// no target is known to have accepted may not have started.
-func (d *delivery) lostOutcome() rtapi.Outcome {
-	if d.events.started {
+// outcome returns what the caller is told of a draft without a final frame.
+// Text that was delivered shows that the draft had started, and so does a
+// target that accepted it and is lost.
+func (d *delivery) outcome() rtapi.Outcome {
+	outcome := d.course.Outcome()
+	switch {
+	case outcome == rtdelivery.FailedOnce, d.events.received > 0:
+		return rtapi.Failed
+	case outcome == rtdelivery.NotRun:
+		return rtapi.NotRun
+	case d.events.started && d.last.verdict != rtdelivery.Expired:
 		return rtapi.Failed
+	default:
+		return rtapi.Unknown
 	}
-	return rtapi.Unknown
 }
 
-// end ends the draft without a final frame. Text that was delivered shows that
-// the draft had started. A draft that was moved may run at its first target.
-func (d *delivery) end(outcome rtapi.Outcome, found result) *refusal {
-	switch {
-	case d.events.received > 0, found.outcome == rtapi.Failed:
-		outcome = rtapi.Failed
-	case d.moved && outcome == rtapi.NotRun:
-		outcome = d.lostOutcome()
-	}
+// end ends the draft without a final frame.
+func (d *delivery) end() *refusal {
+	outcome, found := d.outcome(), d.last
 	d.entry.countEnd(outcome, found.reason)
 	if d.events.started {
 		d.events.end(outcome, found.reason, nil)
@@ -316,11 +324,11 @@
 	events.start(x.id)
 	found := relay.run(ctx)
 	switch found.verdict {
-	case verdictFinal, verdictRefused:
+	case rtdelivery.Done, rtdelivery.Refused, rtdelivery.Impossible:
 		events.end(found.outcome, found.reason, found.final)
-	case verdictGone:
+	case rtdelivery.Lost, rtdelivery.Failed:
 		events.end(rtapi.Failed, found.reason, found.final)
-	case verdictExpired:
+	case rtdelivery.Expired:
 		events.end(rtapi.Unknown, rtapi.ReasonDeadline, nil)
 	}
 	return nil
--- a/internal/rtentry/offer.go
+++ b/internal/rtentry/offer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdelivery"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
@@ -17,25 +18,24 @@
 	queryTimeout = 2 * time.Second
 )
 
-// verdict is what an exchange with one target led to.
-type verdict int
-
-const (
-	verdictExpired    verdict = iota // the time limit was reached first
-	verdictAccepted                  // the agent has the request
-	verdictRefused                   // not run, by the word of the agent or because nothing was sent
-	verdictGone                      // the agent incarnation is gone
-	verdictFinal                     // the answer has ended
-	verdictCallerGone                // the caller does not read any more
-)
-
-// result is a verdict with its details.
+// result is what an exchange with one target led to.
 type result struct {
-	verdict verdict
-	outcome rtapi.Outcome // for verdictFinal
-	reason  rtapi.Reason
-	detail  string
-	final   *rtwire.Final // for verdictFinal; nil if the answer is not complete
+	verdict  rtdelivery.Verdict
+	accepted bool          // the agent has the request; there is no verdict yet
+	outcome  rtapi.Outcome // for rtdelivery.Done
+	reason   rtapi.Reason
+	detail   string
+	final    *rtwire.Final // for rtdelivery.Done; nil if the answer is not complete
+}
+
+// refusedBy returns the result of a refusal: not run, by the word of the agent
+// or because nothing was sent.
+func refusedBy(reason rtapi.Reason, detail string) result {
+	found := result{verdict: rtdelivery.Refused, reason: reason, detail: detail}
+	if !retriesElsewhere(reason) {
+		found.verdict = rtdelivery.Impossible
+	}
+	return found
 }
 
 // offerDraft offers a draft to one agent. A lost reply is resolved at the
@@ -48,15 +48,15 @@
 	case err == nil:
 		return resultOf(reply)
 	case notSent(err) && ctx.Err() == nil:
-		return result{verdict: verdictRefused, reason: rtapi.ReasonUnreachable, detail: "the target cannot be reached"}
+		return refusedBy(rtapi.ReasonUnreachable, "the target cannot be reached")
 	}
 	e.log.V(1).Info("Offer reply lost.", "request", offer.Request, "target", view.Target, "error", err.Error())
 	found := e.resolveDraft(heard, view, offer)
-	undecided := found.verdict == verdictExpired || found.verdict == verdictCallerGone
+	undecided := !found.accepted && (found.verdict == rtdelivery.Expired || found.verdict == rtdelivery.CallerGone)
 	if undecided && ctx.Err() == nil {
 		// A draft is safe to repeat, so it need not wait until an agent that is
 		// paused or cut off answers.
-		return result{verdict: verdictGone, reason: rtapi.ReasonUnreachable, detail: "the target fell silent after the offer"}
+		return result{verdict: rtdelivery.Lost, reason: rtapi.ReasonUnreachable, detail: "the target fell silent after the offer"}
 	}
 	return found
 }
@@ -84,11 +84,11 @@
 func resultOf(reply *rtwire.OfferReply) result {
 	switch reply.GetOutcome() {
 	case rtwire.Outcome_OUTCOME_NOT_RUN:
-		return result{verdict: verdictRefused, reason: reasons[reply.GetReason()], detail: reply.GetDetail()}
+		return refusedBy(reasons[reply.GetReason()], reply.GetDetail())
 	case rtwire.Outcome_OUTCOME_UNKNOWN:
-		return result{verdict: verdictGone, reason: reasons[reply.GetReason()], detail: reply.GetDetail()}
+		return result{verdict: rtdelivery.Lost, reason: reasons[reply.GetReason()], detail: reply.GetDetail()}
 	default:
-		return result{verdict: verdictAccepted}
+		return result{accepted: true}
 	}
 }
 
@@ -100,7 +100,7 @@
 	pause := newBackoff()
 	for pause.wait(ctx) {
 		if e.homeGone(view.Target, rtid.Incarnation(offer.GetIncarnation())) {
-			return result{verdict: verdictGone, reason: rtapi.ReasonIncarnation}
+			return result{verdict: rtdelivery.Lost, reason: rtapi.ReasonIncarnation}
 		}
 		reply, err := e.query(ctx, view.Address, query)
 		if err != nil {
@@ -108,11 +108,11 @@
 		}
 		switch {
 		case neverAgain(reply.GetReason()):
-			return result{verdict: verdictGone, reason: reasons[reply.GetReason()]}
+			return result{verdict: rtdelivery.Lost, reason: reasons[reply.GetReason()]}
 		case reply.GetOutcome() == rtwire.Outcome_OUTCOME_NOT_RUN:
-			return result{verdict: verdictRefused, reason: reasons[reply.GetReason()], detail: reply.GetDetail()}
+			return refusedBy(reasons[reply.GetReason()], reply.GetDetail())
 		case reply.GetOutcome() != rtwire.Outcome_OUTCOME_UNKNOWN:
-			return result{verdict: verdictAccepted}
+			return result{accepted: true}
 		}
 		refreshRemaining(ctx, offer)
 		if again, err := e.offer(ctx, view.Address, offer); err == nil {
--- a/internal/rtentry/relay.go
+++ b/internal/rtentry/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtanswer"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdelivery"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnode"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtwire"
@@ -72,10 +73,10 @@
 		case err == nil:
 			return finalResult(final, r.events)
 		case errors.Is(err, errCallerGone):
-			return result{verdict: verdictCallerGone}
+			return result{verdict: rtdelivery.CallerGone}
 		case errors.Is(err, rtanswer.ErrCorrupt):
 			r.entry.log.Error(err, "Answer damaged.", "request", r.request)
-			return result{verdict: verdictFinal, outcome: rtapi.Failed, reason: rtapi.ReasonIncomplete}
+			return result{verdict: rtdelivery.Done, outcome: rtapi.Failed, reason: rtapi.ReasonIncomplete}
 		}
 		r.entry.log.V(1).Info("Answer stream lost.", "request", r.request, "error", err.Error())
 		r.entry.metrics.Scope.Counter("streams_lost").Inc(1)
@@ -94,15 +95,15 @@
 // expired returns the result of a context that has ended.
 func expired(ctx context.Context) result {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return result{verdict: verdictCallerGone}
+		return result{verdict: rtdelivery.CallerGone}
 	}
-	return result{verdict: verdictExpired, reason: rtapi.ReasonDeadline}
+	return result{verdict: rtdelivery.Expired, reason: rtapi.ReasonDeadline}
 }
 
 // diagnose finds out whether the agent can still deliver the answer. It
 // reports false if reading may go on.
 func (r *relay) diagnose(ctx context.Context, cause error) (result, bool) {
-	gone := result{verdict: verdictGone, reason: rtapi.ReasonIncarnation}
+	gone := result{verdict: rtdelivery.Lost, reason: rtapi.ReasonIncarnation}
 	if r.gone() {
 		return gone, true
 	}
@@ -121,10 +122,10 @@
 	case !errors.As(cause, &refused) || reply.GetOutcome() == rtwire.Outcome_OUTCOME_ACCEPTED:
 		return result{}, false
 	case reply.GetOutcome() == rtwire.Outcome_OUTCOME_NOT_RUN:
-		return result{verdict: verdictRefused, reason: reasons[reply.GetReason()], detail: reply.GetDetail()}, true
+		return refusedBy(reasons[reply.GetReason()], reply.GetDetail()), true
 	default:
 		// The request has ended, and its answer is not kept.
-		return result{verdict: verdictFinal, outcome: rtapi.Failed, reason: rtapi.ReasonExpired}, true
+		return result{verdict: rtdelivery.Done, outcome: rtapi.Failed, reason: rtapi.ReasonExpired}, true
 	}
 }
 
@@ -178,17 +179,19 @@
 // may one whose target failed: it goes on after the text that was delivered.
 func finalResult(final *rtwire.Final, events *events) result {
 	found := result{
-		verdict: verdictFinal,
+		verdict: rtdelivery.Done,
 		outcome: outcomeOf(final.GetOutcome()),
 		reason:  reasons[final.GetReason()],
 		detail:  final.GetDetail(),
 		final:   final,
 	}
 	switch {
+	case found.outcome == rtapi.NotRun && events.received == 0 && retriesElsewhere(found.reason):
+		found.verdict = rtdelivery.Refused
 	case found.outcome == rtapi.NotRun && events.received == 0:
-		found.verdict = verdictRefused
+		found.verdict = rtdelivery.Impossible
 	case found.outcome == rtapi.Failed && found.reason == rtapi.ReasonTarget:
-		found.verdict = verdictGone
+		found.verdict = rtdelivery.Failed
 	}
 	return found
 }
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -8,35 +8,18 @@
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdelivery"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 )
 
-// verdict is what one send led to.
-type verdict int
-
-const (
-	verdictLost       verdict = iota // lost
-	verdictNotSent                   // not sent
-	verdictNotRun                    // not run
-	verdictElsewhere                 // another target has the address
-	verdictHelper                    // a helper refused
-	verdictMemory                    // no memory
-	verdictFailed                    // failed
-	verdictDone                      // done
-	verdictCallerGone                // caller gone
-	verdictExpired                   // expired
-)
-
-//go:generate go tool -modfile=../../tools/go.mod stringer -type=verdict -linecomment
-
 // result is a verdict with its details.
 type result struct {
-	verdict verdict
+	verdict rtdelivery.Verdict
 	detail  string
-	kept    *keptAnswer   // whole answer of the target, for verdictFailed
-	first   time.Duration // from the send to the first event, for verdictDone of a stream
+	kept    *keptAnswer   // whole answer of the target, for rtdelivery.Failed
+	first   time.Duration // from the send to the first event, for a stream that is done
 	pause   time.Duration // longest between events, as first
 }
 
@@ -51,11 +34,12 @@
 type delivery struct {
 	gateway *Gateway
 	request *request
+	course  rtdelivery.Course
 
 	tried     []rtid.Target
-	sends     int         // targets that may have got the request, at most the route's attempts
-	helped    int         // refusals because of a helper
-	uncertain bool        // a send may have run, so that no refusal may promise otherwise
+	choice    chosen      // of the send that runs
+	refused   *refusal    // by the choice; nil if the caller has left
+	detail    string      // of the last send
 	kept      *keptAnswer // of an earlier send
 	started   bool        // the head of the answer is written
 	lastEvent string      // last event that the caller got whole
@@ -74,40 +58,107 @@
 	waitStep = 40 * time.Millisecond
 )
 
+// spentReasons are the reasons of refusals by the verdict of the last send.
+var spentReasons = map[rtdelivery.Verdict]string{
+	rtdelivery.Lost:       "target lost",
+	rtdelivery.Unsent:     "targets cannot be reached",
+	rtdelivery.Refused:    "target not run",
+	rtdelivery.Elsewhere:  "targets have changed",
+	rtdelivery.Unhelped:   "helpers refuse",
+	rtdelivery.Impossible: "no memory for the prompt",
+	rtdelivery.Failed:     "target failed",
+	rtdelivery.Expired:    "target expired",
+}
+
+// newDelivery returns the delivery of a request within the attempts of its
+// route.
+func newDelivery(g *Gateway, q *request) *delivery {
+	return &delivery{gateway: g, request: q, lastEvent: q.facts.LastEvent, course: rtdelivery.Course{Limits: rtdelivery.Limits{
+		Offers:     q.route.Attempts,
+		Refusals:   q.route.Attempts,
+		Losses:     q.route.Attempts,
+		Misses:     maxUnsent,
+		Unhelped:   maxHelped,
+		Repeatable: q.route.Repeatable(),
+	}}}
+}
+
 // run sends the request until it has an end.
 func (d *delivery) run(ctx context.Context) *refusal {
+	d.gateway.countRequest(d.request.service.Name)
+	switch ending := d.course.Run(ctx, d); ending {
+	case rtdelivery.Answered:
+		return nil
+	case rtdelivery.NoTarget:
+		return d.refused
+	default:
+		refused := d.giveUp(spentReasons[d.course.Last()])
+		if refused != nil {
+			refused.detail = d.detail
+			if ending == rtdelivery.OverBudget {
+				refused.detail += ", retry budget used up"
+			}
+		}
+		return refused
+	}
+}
+
+// Choose chooses the target of the next send and waits for room, if the
+// request is better served later.
+func (d *delivery) Choose(ctx context.Context) bool {
 	q := d.request
-	d.gateway.countRequest(q.service.Name)
-	d.lastEvent = q.facts.LastEvent
 	for {
 		choice, ok := d.gateway.choose(q, d.tried)
 		if !ok {
 			if time.Since(q.arrived) >= q.route.Aim/2 {
-				return d.giveUp("no target")
+				d.refused = d.giveUp("no target")
+				return false
 			}
 			// A target may come back, or its rate allow one more, within the time.
 			choice.Decision = rtplacement.Wait
 		}
 		switch choice.Decision {
+		case rtplacement.Send:
+			d.choice = choice
+			d.tried = append(d.tried, choice.Target.ID)
+			return true
 		case rtplacement.Refuse:
-			return d.refuseNow(choice)
-		case rtplacement.Wait:
-			if refused, ended := d.wait(ctx); ended {
-				return refused
-			}
-			continue
+			d.refused = d.refuseNow(choice)
+			return false
 		}
-		d.tried = append(d.tried, choice.Target.ID)
-		sent := time.Now()
-		found := d.send(ctx, choice.Choice, choice.flight)
-		d.gateway.end(choice.flight)
-		d.log(choice, found, sent)
-		if done, refused := d.settle(ctx, found); done {
-			return refused
+		if refused, ended := d.wait(ctx); ended {
+			d.refused = refused
+			return false
 		}
 	}
 }
 
+// Offer sends the request to the chosen target and relays the answer.
+func (d *delivery) Offer(ctx context.Context) rtdelivery.Verdict {
+	sent := time.Now()
+	found := d.send(ctx, d.choice.Choice, d.choice.flight)
+	d.gateway.end(d.choice.flight)
+	d.log(d.choice, found, sent)
+	d.detail = found.detail
+	switch found.verdict {
+	case rtdelivery.Failed:
+		d.kept = found.kept
+	case rtdelivery.Unhelped:
+		// The target itself is not at fault and may be asked again.
+		d.tried = d.tried[:len(d.tried)-1]
+	}
+	return found.verdict
+}
+
+// Spend takes one more send from the retry budget of the service.
+func (d *delivery) Spend(after rtdelivery.Verdict) bool {
+	if !d.gateway.takeRetry(d.request.service.Name) {
+		return false
+	}
+	d.gateway.metrics.Scope.Tagged(map[string]string{"after": after.String()}).Counter("retries").Inc(1)
+	return true
+}
+
 // wait lets a request wait for room. It reports whether the request has ended
 // meanwhile.
 func (d *delivery) wait(ctx context.Context) (*refusal, bool) {
@@ -131,81 +182,28 @@
 // refuseNow refuses a request whose caller would have left before its first
 // event: reading a prompt for nobody delays all others.
 func (d *delivery) refuseNow(choice chosen) *refusal {
-	if d.started || d.uncertain || d.kept != nil {
-		return d.giveUp("overloaded")
-	}
-	left := time.Until(d.request.deadline)
-	// Callers wait for at most a third of their time.
-	return notRun("overloaded", min(rtplacement.ComeBack(choice.Choice, choice.Pressure), left/3))
-}
-
-// settle decides what follows a send. It reports whether the request has
-// ended.
-func (d *delivery) settle(ctx context.Context, found result) (bool, *refusal) {
-	switch found.verdict {
-	case verdictDone, verdictCallerGone:
-		return true, nil
-	case verdictNotSent:
-		if ctx.Err() == nil && len(d.tried) < maxUnsent {
-			return false, nil
-		}
-		return true, d.giveUp("targets cannot be reached")
-	case verdictElsewhere:
-		if ctx.Err() == nil && len(d.tried) < maxUnsent && d.gateway.takeRetry(d.request.service.Name) {
-			return false, nil
-		}
-		return true, d.giveUp("targets have changed")
-	case verdictHelper:
-		d.helped++
-		// The target itself is not at fault and may be asked again.
-		d.tried = d.tried[:len(d.tried)-1]
-		if ctx.Err() == nil && d.helped < maxHelped && d.gateway.takeRetry(d.request.service.Name) {
-			return false, nil
-		}
-		return true, d.giveUp("helpers refuse")
-	case verdictMemory:
-		return true, d.giveUp("no memory for the prompt")
-	case verdictNotRun:
-		d.sends++
-	case verdictFailed:
-		d.sends++
-		d.kept = found.kept
-	default:
-		d.sends++
-		d.uncertain = true
-	}
-	if d.mayRepeat(ctx, found.verdict) && d.gateway.takeRetry(d.request.service.Name) {
-		d.gateway.metrics.Scope.Counter("retries").Inc(1)
-		return false, nil
-	}
-	refused := d.giveUp("target " + found.verdict.String())
-	if refused != nil {
-		refused.detail = found.detail
-	}
-	return true, refused
-}
-
-// mayRepeat reports whether the route allows one more send after a verdict.
-func (d *delivery) mayRepeat(ctx context.Context, after verdict) bool {
-	route := d.request.route
-	if ctx.Err() != nil || d.sends >= route.Attempts {
-		return false
+	refused := d.giveUp("overloaded")
+	if refused != nil && d.course.Outcome() == rtdelivery.NotRun {
+		// Callers wait for at most a third of their time.
+		refused.after = min(rtplacement.ComeBack(choice.Choice, choice.Pressure), time.Until(d.request.deadline)/3)
 	}
-	return after == verdictNotRun && !d.uncertain || route.Repeatable()
+	return refused
 }
 
 // giveUp ends a request that no target has answered well.
 func (d *delivery) giveUp(reason string) *refusal {
-	switch {
-	case d.started:
+	if d.started {
 		// Only a broken connection shows that the answer is not whole.
 		panic(http.ErrAbortHandler)
-	case d.kept != nil:
+	}
+	switch d.course.Outcome() {
+	case rtdelivery.FailedOnce:
 		d.kept.write(d.request.w)
 		return nil
-	case d.uncertain && !time.Now().Before(d.request.deadline):
-		return &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}
-	case d.uncertain:
+	case rtdelivery.Unknown:
+		if !time.Now().Before(d.request.deadline) {
+			return &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}
+		}
 		return &refusal{status: http.StatusBadGateway, reason: reason}
 	default:
 		return notRun(reason, shedPause)
@@ -236,7 +234,7 @@
 	defer watch.stop()
 	reserved, err := d.reserve(ctx, choice)
 	if err != nil {
-		return result{verdict: verdictMemory, detail: err.Error()}
+		return result{verdict: rtdelivery.Impossible, detail: err.Error()}
 	}
 	defer d.release(reserved)
 	if renewal := d.renew(reserved); renewal != nil {
@@ -252,16 +250,16 @@
 	reply := d.gateway.dialect.Reply(answer.Status, answer.Header)
 	switch {
 	case reply.Request != d.request.facts.ID && !reply.NotRun:
-		return result{verdict: verdictLost, detail: "answer belongs to another request"}
+		return result{verdict: rtdelivery.Lost, detail: "answer belongs to another request"}
 	case reply.NotRun && d.gateway.blame(reply.Fault, choice):
-		return result{verdict: verdictHelper, detail: "refused because of helper " + reply.Fault}
+		return result{verdict: rtdelivery.Unhelped, detail: "refused because of helper " + reply.Fault}
 	case reply.NotRun && answer.Status == http.StatusMisdirectedRequest:
 		d.gateway.leave(choice.Target.ID)
-		return result{verdict: verdictElsewhere, detail: "another target has the address"}
+		return result{verdict: rtdelivery.Elsewhere, detail: "another target has the address"}
 	case reply.NotRun:
-		return result{verdict: verdictNotRun, detail: fmt.Sprintf("refused with %d, at fault %q", answer.Status, reply.Fault)}
+		return result{verdict: rtdelivery.Refused, detail: fmt.Sprintf("refused with %d, at fault %q", answer.Status, reply.Fault)}
 	case !reply.Stamped, answer.Header.Get("Content-Encoding") != "":
-		return result{verdict: verdictLost, detail: "answer is not the target's own"}
+		return result{verdict: rtdelivery.Lost, detail: "answer is not the target's own"}
 	}
 	relay := &relay{delivery: d, target: choice.Target, answer: answer, flight: flight, watch: watch, last: sent}
 	if d.request.route.Kind == rtcatalog.KindStream && answer.Status < http.StatusMultipleChoices {
@@ -276,17 +274,17 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
 		d.gateway.suspect(target.ID, "silent")
-		return result{verdict: verdictLost, detail: errSilent.Error()}
+		return result{verdict: rtdelivery.Lost, detail: errSilent.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return result{verdict: verdictExpired, detail: "the time is over"}
+		return result{verdict: rtdelivery.Expired, detail: "the time is over"}
 	case ctx.Err() != nil:
-		return result{verdict: verdictCallerGone, detail: "the caller has left"}
+		return result{verdict: rtdelivery.CallerGone, detail: "the caller has left"}
 	case errors.Is(err, rtexchange.ErrNotSent):
 		d.gateway.suspect(target.ID, detail)
-		return result{verdict: verdictNotSent, detail: detail}
+		return result{verdict: rtdelivery.Unsent, detail: detail}
 	default:
 		d.gateway.suspect(target.ID, detail)
-		return result{verdict: verdictLost, detail: detail}
+		return result{verdict: rtdelivery.Lost, detail: detail}
 	}
 }
 
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -147,8 +147,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	d := &delivery{gateway: g, request: q}
-	if refused := d.run(ctx); refused != nil {
+	if refused := newDelivery(g, q).run(ctx); refused != nil {
 		g.refuse(q, refused)
 	}
 }
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdelivery"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 )
@@ -47,10 +48,10 @@
 	}
 	kept := &keptAnswer{status: r.answer.Status, header: r.answer.Header, body: body}
 	if r.answer.Status >= http.StatusInternalServerError {
-		return result{verdict: verdictFailed, detail: strconv.Itoa(r.answer.Status), kept: kept}
+		return result{verdict: rtdelivery.Failed, detail: strconv.Itoa(r.answer.Status), kept: kept}
 	}
 	kept.write(r.delivery.request.w)
-	return result{verdict: verdictDone, detail: strconv.Itoa(r.answer.Status)}
+	return result{verdict: rtdelivery.Done, detail: strconv.Itoa(r.answer.Status)}
 }
 
 // write sends a whole answer.
@@ -71,7 +72,7 @@
 		event, err := r.answer.Next()
 		if errors.Is(err, io.EOF) {
 			r.start()
-			return result{verdict: verdictDone, detail: "complete", first: r.first, pause: r.pause}
+			return result{verdict: rtdelivery.Done, detail: "complete", first: r.first, pause: r.pause}
 		}
 		if err != nil {
 			return d.failure(ctx, r.target, err)
@@ -80,14 +81,14 @@
 		r.clock(time.Now())
 		r.start()
 		if _, err := d.request.w.Write(event.Bytes); err != nil {
-			return result{verdict: verdictCallerGone, detail: err.Error()}
+			return result{verdict: rtdelivery.CallerGone, detail: err.Error()}
 		}
 		if event.ID != "" {
 			d.lastEvent = event.ID
 		}
 		if !r.answer.Buffered() {
 			if err := control.Flush(); err != nil {
-				return result{verdict: verdictCallerGone, detail: err.Error()}
+				return result{verdict: rtdelivery.CallerGone, detail: err.Error()}
 			}
 		}
 	}
