Let prompts with long parts wait for a lull

Change: passes are filled to 420 ms, parts over 0.9 s are read only while there is little to read and few streams write; their callers wait up to two aims instead of an eighth of one. A prompt that the whole service cannot read within the aim is refused at once. Test: TestAdmit: the two cases of the old bound (wait 1.4 s parts, refuse them after 400 ms) are replaced by seven of the new one. TestFairness also plays a swing with many gateways.

--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -15,29 +15,34 @@
 // Pressure is how busy the engines for long reads are.
 type Pressure struct {
 	Backlog time.Duration // of reading, mean over the engines
+	Others  float64       // requests that are not tight, mean over the engines
+	Engines int           // of the whole service
 }
 
 const (
 	// aimShare is the part of the aim that a prediction may use up; the rest
 	// covers what other processes send meanwhile.
 	aimShare = 0.85
-	// gapPart is the longest part of a prompt that all writers of long requests
-	// bear: their tightest usual bound on pauses is 600 ms. Longer ones harm some
-	// of them, without which the largest tenth of prompts would not be served.
-	gapPart = 550 * time.Millisecond
+	// gapPart is the longest pass that writers of long requests bear with
+	// certainty: seven tenths of their tightest usual bound on pauses (600 ms).
+	// What other processes send meanwhile takes the rest.
+	gapPart = 420 * time.Millisecond
 	// shortPass is a pass in which nothing is read.
 	shortPass = 50 * time.Millisecond
-	// hopeShare divides the aim: for so long a prompt waits for a pool that can
-	// read it, before its caller is told to come back.
-	hopeShare = 8
 	// shedPause is when room is expected at engines that had none: a few passes.
 	// ebbPause is when the pools may have changed: loads swing within seconds.
 	shedPause = 400 * time.Millisecond
 	ebbPause  = 4 * time.Second
-	// widePart is the longest part that engines may read at the same time: a
-	// prompt of 400,000 tokens by 14 of them. A longer one would stop the service
-	// for seconds.
-	widePart = 1300 * time.Millisecond
+	// widePart is the longest part that engines may read beside writers of the
+	// longest prompts, whose pauses are bounded by a second.
+	widePart = 900 * time.Millisecond
+	// wideAims is for how many aims a prompt with longer parts waits for a lull:
+	// half of the patience of its caller (four aims), so that the other half is
+	// left for the reading or for coming back.
+	wideAims = 2
+	// lullWriters is the number of requests for each engine that a longer part
+	// may hold up.
+	lullWriters = 0.3
 	// emptyBacklog is the reading that adds little to a part that is long by
 	// itself.
 	emptyBacklog = 100 * time.Millisecond
@@ -50,7 +55,7 @@
 // It answers more long prompts than the engines can read in time: sent at once,
 // they would all be late, because reading is shared. A request is sent while it
 // will be in time; later it waits for engines with room, as long as its caller
-// does. Parts that would stop the service wait for more engines.
+// does.
 func Admit(work Work, choice Choice, pressure Pressure) Decision {
 	left := work.Patience - work.Waited
 	switch {
@@ -58,25 +63,51 @@
 		return Refuse
 	case work.Tight() || work.Aim <= 0:
 		return Send
-	case choice.Part > widePart && work.Waited > work.Aim/hopeShare:
-		return Refuse
+	case choice.Part > widePart:
+		return admitWide(work, choice, pressure)
 	}
 	aim := time.Duration(aimShare * float64(work.Aim))
 	// What an engine has got is read in its next pass, all at once.
 	// Only engines with little to read take a part that is long by itself.
 	full := pressure.Backlog > max(gapPart-shortPass-choice.Part, emptyBacklog)
-	harmful := choice.Part > widePart
 	inTime := work.Waited+choice.First <= aim
 	switch {
-	case inTime && !harmful && !full:
+	case inTime && !full:
+		return Send
+	case !inTime && pressure.Backlog <= idleBacklog:
 		return Send
-	case !inTime && pressure.Backlog <= idleBacklog && !harmful:
+	default:
+		return Wait
+	}
+}
+
+// admitWide decides about a prompt whose parts stop the writing of an engine
+// for longer than its streams bear. It answers bursts of long prompts with some
+// of the largest among them: these wait for a lull, when few streams are held
+// up, instead of stopping all of them or being refused.
+func admitWide(work Work, choice Choice, pressure Pressure) Decision {
+	if leastPart(choice, pressure.Engines) > work.Aim {
+		// No lull makes room for it.
+		return Refuse
+	}
+	lull := pressure.Backlog <= idleBacklog && pressure.Others <= lullWriters
+	switch {
+	case lull && choice.Part <= work.Aim:
 		return Send
+	case work.Waited > wideAims*work.Aim:
+		return Refuse
 	default:
 		return Wait
 	}
 }
 
+// leastPart returns the shortest part of the prompt of a choice that the
+// engines of a service allow.
+func leastPart(choice Choice, engines int) time.Duration {
+	most := max(1, min(engines-leastTight, 1+maxHelpers))
+	return choice.Part * time.Duration(1+len(choice.Helpers)) / time.Duration(most)
+}
+
 // ComeBack returns when a request that is refused has better prospects.
 func ComeBack(choice Choice, pressure Pressure) time.Duration {
 	if choice.Part > widePart {
@@ -94,7 +125,11 @@
 		sum = sum.Add(long[i].Load)
 	}
 	n := max(1, len(long))
-	return Pressure{Backlog: sum.Reading / time.Duration(n)}
+	return Pressure{
+		Backlog: sum.Reading / time.Duration(n),
+		Others:  float64(sum.Requests-sum.Writers) / float64(n),
+		Engines: len(candidates),
+	}
 }
 
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Decision
