Judge a lull at the engines that would read

Cause: on the grown sites 69 engines serve long prompts, of which one prompt is read by 17 at most; a lull was still asked for as a mean over all of them, and the 17 were drawn from a random part of the pool. Ruled out: sampling because of many gateways: prompts with parts over 0.9 s are a few a minute. Change: such a prompt goes to the quietest engines of the whole pool, each request there counting as 100 ms of wait, and waits for a lull of these.

--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -15,7 +15,6 @@
 // Pressure is how busy the engines for long reads are.
 type Pressure struct {
 	Backlog time.Duration // of reading, mean over the engines
-	Others  float64       // requests that are not tight, mean over the engines
 	Engines int           // of the whole service
 }
 
@@ -40,9 +39,9 @@
 	// half of the patience of its caller (four aims), so that the other half is
 	// left for the reading or for coming back.
 	wideAims = 2
-	// lullWriters is the number of requests for each engine that a longer part
-	// may hold up.
-	lullWriters = 0.3
+	// lullStreams is the number of requests at each engine that a longer part may
+	// hold up.
+	lullStreams = 0.3
 	// emptyBacklog is the reading that adds little to a part that is long by
 	// itself.
 	emptyBacklog = 100 * time.Millisecond
@@ -90,7 +89,7 @@
 		// No lull makes room for it.
 		return Refuse
 	}
-	lull := pressure.Backlog <= idleBacklog && pressure.Others <= lullWriters
+	lull := choice.Backlog <= idleBacklog && choice.Streams <= lullStreams
 	switch {
 	case lull && choice.Part <= work.Aim:
 		return Send
@@ -125,11 +124,7 @@
 		sum = sum.Add(long[i].Load)
 	}
 	n := max(1, len(long))
-	return Pressure{
-		Backlog: sum.Reading / time.Duration(n),
-		Others:  float64(sum.Requests-sum.Writers) / float64(n),
-		Engines: len(candidates),
-	}
+	return Pressure{Backlog: sum.Reading / time.Duration(n), Engines: len(candidates)}
 }
 
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Decision
--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -30,6 +30,8 @@
 	Helpers []*rtcatalog.Instance // read parts of the prompt
 	First   time.Duration         // predicted wait for the first event
 	Part    time.Duration         // predicted reading at each of these targets
+	Backlog time.Duration         // of other reading at them, mean
+	Streams float64               // requests at them that are not tight, mean
 }
 
 const (
@@ -54,6 +56,9 @@
 	// writerWait is the wait that equals one more request at an engine: what it
 	// adds to each pass, over the usual number of passes of an answer.
 	writerWait = 4 * time.Millisecond
+	// heldWait is the wait that equals one more request that a long part holds
+	// up: a late answer costs more than any wait within the aim.
+	heldWait = 100 * time.Millisecond
 )
 
 // Tight reports whether pauses of the work are bounded tightly.
@@ -89,7 +94,9 @@
 	// Parts of long prompts never go to engines of tight requests.
 	long := longPool(order, tight)
 	count := parts(engine, work, longPart, len(long))
-	long = sight.sample(long, count+spareParts)
+	if ReadTime(engine, work.Prompt, count) <= widePart {
+		long = sight.sample(long, count+spareParts)
+	}
 	return choose(engine, work, long, len(long), count), true
 }
 
@@ -118,6 +125,10 @@
 // preferred to the others.
 func choose(engine *rtcatalog.Engine, work Work, order []Candidate, home, count int) Choice {
 	part := ReadTime(engine, work.Prompt, count)
+	perRequest := writerWait
+	if part > widePart {
+		perRequest = heldWait
+	}
 	type ranked struct {
 		Candidate
 		wait time.Duration
@@ -126,7 +137,7 @@
 	all := make([]ranked, 0, len(order))
 	for i, c := range order {
 		r := ranked{Candidate: c, wait: waitAt(engine, c)}
-		r.cost = r.wait + time.Duration(c.Load.Requests)*writerWait
+		r.cost = r.wait + time.Duration(c.Load.Requests)*perRequest
 		if i >= home {
 			r.cost += otherPool
 		}
@@ -137,15 +148,19 @@
 	})
 	chosen := make([]Candidate, 0, count)
 	var longest time.Duration
+	var sum Load
 	for _, r := range all[:count] {
 		chosen = append(chosen, r.Candidate)
 		longest = max(longest, r.wait)
+		sum = sum.Add(r.Load)
 	}
 	target := roomiest(engine, chosen)
 	choice := Choice{
-		Target: chosen[target].Instance,
-		Part:   part,
-		First:  longest + part + PassTime(engine, Load{Requests: 1, Context: work.Prompt / rtid.Tokens(count)}),
+		Target:  chosen[target].Instance,
+		Part:    part,
+		Backlog: sum.Reading / time.Duration(count),
+		Streams: float64(sum.Requests-sum.Writers) / float64(count),
+		First:   longest + part + PassTime(engine, Load{Requests: 1, Context: work.Prompt / rtid.Tokens(count)}),
 	}
 	for i, c := range chosen {
 		if i != target {
