Pass over engines that read a long part for short prompts

Change: engines that read a part over 0.9 s are left out before a gateway draws the ones that it looks at.

--- a/internal/rtmodel/model_test.go
+++ b/internal/rtmodel/model_test.go
@@ -160,6 +160,42 @@
 	}
 }
 
+// Guards against a lull in which the largest prompts take most engines, so that
+// short requests find none when their burst begins: their callers leave after
+// two seconds.
+func TestBurstAfterLull(t *testing.T) {
+	kinds := calm()
+	largest := kinds[2]
+	largest.Tokens, largest.Spread = 525000, 0
+	burst := func(large float64) func(string, time.Duration) float64 {
+		return func(kind string, at time.Duration) float64 {
+			switch {
+			case kind == largest.Name && at < 2*time.Second:
+				return large
+			case kind == "short" && at > 1500*time.Millisecond:
+				return 2.4
+			default:
+				return 0
+			}
+		}
+	}
+	inTime := func(large float64) float64 {
+		share := 0.0
+		for _, seed := range seeds {
+			load := Load{Kinds: []Kind{kinds[0], largest}, Length: 6 * time.Second, Factor: burst(large)}
+			short := Run(fleetOf(18, 4), load, pooled, seed).Results[0]
+			share += float64(short.InTime) / float64(short.Asked) / float64(len(seeds))
+		}
+		return share
+	}
+	with, without := inTime(1), inTime(0)
+	t.Logf("short requests in time: %.3f, %.3f without large prompts", with, without)
+	// A prompt may take a third of the engines.
+	if with < without*2/3 {
+		t.Errorf("%.3f of short requests in time, %.3f without large prompts", with, without)
+	}
+}
+
 // Guards against a run that differs from another with the same seed.
 func TestRunRepeats(t *testing.T) {
 	load := Load{Kinds: calm(), Length: 10 * time.Second, Factor: swing}
--- a/internal/rtplacement/choose.go
+++ b/internal/rtplacement/choose.go
@@ -87,7 +87,7 @@
 	tight := min(sight.Tight, len(order))
 	if work.Tight() {
 		count := parts(engine, work, tightPart, len(order))
-		home := sight.sample(order[:tight], count+1)
+		home := sight.sample(open(order[:tight]), count+1)
 		all := append(slices.Clone(home), sight.sample(order[tight:], 1)...)
 		return choose(engine, work, all, len(home), min(count, len(all))), true
 	}
@@ -101,15 +101,21 @@
 }
 
 // longPool returns the engines for long reads of an order: those behind the
-// tight ones that do not read one prompt for longer than others can wait.
+// tight ones.
 func longPool(order []Candidate, tight int) []Candidate {
 	long := order[min(tight, len(order)):]
 	if len(long) == 0 {
 		long = order
 	}
-	open := slices.DeleteFunc(slices.Clone(long), func(c Candidate) bool { return c.Load.Reading > widePart })
+	return open(long)
+}
+
+// open returns the candidates that do not read one prompt for longer than
+// others can wait, or all if there is none.
+func open(candidates []Candidate) []Candidate {
+	open := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Load.Reading > widePart })
 	if len(open) == 0 {
-		return long
+		return candidates
 	}
 	return open
 }
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -139,6 +139,27 @@
 	}
 }
 
+// Guards against short requests that are refused while engines are free: a
+// gateway of many looks at a few engines only, and a burst that begins while
+// most of them read one large prompt must not see just these.
+func TestBlockedEngines(t *testing.T) {
+	const tight = 6
+	work := Work{Prompt: 300, Gap: short.Gap, Aim: short.Aim, Patience: short.Patience}
+	for round := range 50 {
+		candidates := engines(18)
+		for i := range candidates {
+			candidates[i].Rank = uint32((i*7919 + round*104729) % 1009)
+			if i != tight-1 {
+				candidates[i].Load.Reading = 2400 * time.Millisecond
+			}
+		}
+		choice, ok := Engine(published, work, candidates, Sight{Tight: tight, Gateways: 20})
+		if !ok || Admit(work, choice, Pressure{Engines: 18}) != Send {
+			t.Fatalf("round %d: first event predicted after %v at %s", round, choice.First, choice.Target.ID)
+		}
+	}
+}
+
 // Guards against pools that do not follow a swing within about a second, or
 // leave one kind without engines.
 func TestPools(t *testing.T) {
