Tell callers of a gateway that leaves to come back when the balancer has left it

The balancer directs callers to the same gateway for two misses, so they were refused there again and gave up (worth refused again). Change: a gateway that leaves names the rest of 2.2 s from the end of its readiness, at most a third of the caller's time.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -162,7 +162,7 @@
 // wait lets a request wait for room. It reports whether the request has ended
 // meanwhile.
 func (d *delivery) wait(ctx context.Context) (*refusal, bool) {
-	if d.gateway.leaving.Load() {
+	if d.gateway.leaving.Load() != nil {
 		return d.giveUp("leaving"), true
 	}
 	timer := time.NewTimer(waitStep)
@@ -182,16 +182,14 @@
 // refuseNow refuses a request whose caller would have left before its first
 // event: reading a prompt for nobody delays all others.
 func (d *delivery) refuseNow(choice chosen) *refusal {
-	refused := d.giveUp("overloaded")
-	if refused != nil && d.course.Outcome() == rtdelivery.NotRun {
-		// Callers wait for at most a third of their time.
-		refused.after = min(rtplacement.ComeBack(choice.Choice, choice.Pressure), time.Until(d.request.deadline)/3)
-	}
-	return refused
+	return d.giveUpUntil("overloaded", rtplacement.ComeBack(choice.Choice, choice.Pressure))
 }
 
 // giveUp ends a request that no target has answered well.
-func (d *delivery) giveUp(reason string) *refusal {
+func (d *delivery) giveUp(reason string) *refusal { return d.giveUpUntil(reason, shedPause) }
+
+// giveUpUntil is giveUp with a time after which room is expected.
+func (d *delivery) giveUpUntil(reason string, after time.Duration) *refusal {
 	if d.started {
 		// Only a broken connection shows that the answer is not whole.
 		panic(http.ErrAbortHandler)
@@ -206,7 +204,8 @@
 		}
 		return &refusal{status: http.StatusBadGateway, reason: reason}
 	default:
-		return notRun(reason, shedPause)
+		// Callers wait for at most a third of their time.
+		return notRun(reason, min(d.gateway.comeBack(after), time.Until(d.request.deadline)/3))
 	}
 }
 
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -74,7 +74,7 @@
 	views    Views
 	peers    Peers
 	placed   func()
-	leaving  atomic.Bool // never goes back to false
+	leaving  atomic.Pointer[time.Time] // since when; nil while it serves
 	started  time.Time
 
 	background background
@@ -133,7 +133,7 @@
 
 // Ready reports whether new callers are welcome.
 func (g *Gateway) Ready() bool {
-	return !g.leaving.Load() && g.views.View().Complete()
+	return g.leaving.Load() == nil && g.views.View().Complete()
 }
 
 // ServeHTTP serves one request of a caller.
--- a/internal/rtgateway/gateway_test.go
+++ b/internal/rtgateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -308,6 +309,11 @@
 		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || got.took > time.Second {
 			t.Errorf("waiting request got %d after %v, %v", got.status, got.took, got.err)
 		}
+		// The balancer asks once a second and directs callers here until the
+		// second miss: one that comes back sooner is refused again.
+		if after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); err != nil || after < 2 {
+			t.Errorf("caller may come back after %q, %v; want 2 s or more", got.header.Get("Retry-After"), err)
+		}
 		<-replies
 		if err := errors.Join(<-stopped.Done(), <-reading.Done(), <-waiting.Done()); err != nil {
 			t.Error(err)
--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -21,6 +21,9 @@
 	// balancerDelay is the time between the end of readiness and the end of
 	// the listener: the balancer asks once a second and leaves after two misses.
 	balancerDelay = 3 * time.Second
+	// rotationTime is how long new connections are directed here after the end of
+	// readiness: two misses of the balancer, and a fifth of a second to note them.
+	rotationTime = 2200 * time.Millisecond
 	// graceMargin is left of the time to stop for the end of the process.
 	graceMargin  = 400 * time.Millisecond
 	defaultGrace = 8 * time.Second
@@ -80,7 +83,7 @@
 		grace = defaultGrace
 	}
 	began := time.Now()
-	g.leaving.Store(true)
+	g.leaving.Store(&began)
 	g.log.Info("Stopping.", "grace", grace.String())
 	timer := time.NewTimer(balancerDelay)
 	defer timer.Stop()
@@ -96,6 +99,15 @@
 	return err
 }
 
+// comeBack returns when a caller that is refused may come back. One that comes
+// back to a process that leaves is refused again, and then gives up.
+func (g *Gateway) comeBack(after time.Duration) time.Duration {
+	if since := g.leaving.Load(); since != nil {
+		return max(after, rotationTime-time.Since(*since))
+	}
+	return after
+}
+
 // serveReadiness answers the balancer.
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
