Divide large deployments into cells

Each gateway tells all others its loads every 7.5 s at that size, but a report counts for 2 s: all placed blindly, among 3,000 engines, and each took the others for dead between two digests. Ruled out: processor time (24 % of a core at most), store calls. Change: gateways are ranked in an order that all share and divided into cells of about 30; engines likewise. A gateway chooses among the engines of its cell (all, if none of them may be used), tells only its cell its loads, and hears from the others without loads every eighth round.

--- a/internal/rtgateway/choose.go
+++ b/internal/rtgateway/choose.go
@@ -59,7 +59,11 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	candidates := g.candidates(view, q.service, tried, now)
+	candidates := g.candidates(view, g.ownEngines(view, q.service), q.service, tried, now)
+	if len(candidates) == 0 {
+		// The cell has no target left, as when it lost its availability zone.
+		candidates = g.candidates(view, view.Instances(q.service.Name), q.service, tried, now)
+	}
 	work := q.work
 	work.Waited = now.Sub(q.arrived)
 	var found chosen
@@ -82,10 +86,10 @@
 
 // candidates returns the targets that may take a request. Targets under
 // suspicion are used only where there is no other. The caller holds mu.
-func (g *Gateway) candidates(view *rtcatalog.View, service *rtcatalog.Service, tried []rtid.Target,
-	now time.Time) []rtplacement.Candidate {
+func (g *Gateway) candidates(view *rtcatalog.View, instances []*rtcatalog.Instance, service *rtcatalog.Service,
+	tried []rtid.Target, now time.Time) []rtplacement.Candidate {
 	var trusted, doubted []rtplacement.Candidate
-	for _, instance := range view.Instances(service.Name) {
+	for _, instance := range instances {
 		if !view.Usable(instance) || slices.Contains(tried, instance.ID) || !g.withinRate(service, instance, now) {
 			continue
 		}
@@ -113,6 +117,30 @@
 	return trusted
 }
 
+// ownEngines are the instances of a service that belong to the cell of this
+// process, by the view and the cell that they were taken from.
+type ownEngines struct {
+	view      *rtcatalog.View
+	cell      rtplacement.Cell
+	instances []*rtcatalog.Instance
+}
+
+// ownEngines returns the targets of a service that this process chooses from:
+// its cell's share of engines, and all of a service without prompts. The caller
+// holds mu.
+func (g *Gateway) ownEngines(view *rtcatalog.View, service *rtcatalog.Service) []*rtcatalog.Instance {
+	cell := g.peers.Cell()
+	if service.Engine == nil || cell.Count <= 1 {
+		return view.Instances(service.Name)
+	}
+	own := g.own[service.Name]
+	if own.view != view || own.cell != cell {
+		own = ownEngines{view: view, cell: cell, instances: cell.Engines(view.Instances(service.Name), hash)}
+		g.own[service.Name] = own
+	}
+	return own.instances
+}
+
 // withinRate reports whether one more request is within this process's part
 // of what a cold target bears. It holds for every target, because a warm one
 // may turn cold at any moment. The caller holds mu.
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -46,7 +46,9 @@
 
 // Peers counts the gateways of a deployment.
 type Peers interface {
-	// Alive returns those that are known to run, with this one.
+	// Cell returns the part of the deployment that this one belongs to.
+	Cell() rtplacement.Cell
+	// Alive returns those of the cell that are known to run, with this one.
 	Alive() int
 	// Processes returns those that may share budgets, with this one. It is
 	// never less than there are.
@@ -85,6 +87,7 @@
 	schedulers map[rtid.Service]*rtplacement.Scheduler
 	retries    map[rtid.Service]*rtlimit.RetryShare
 	starts     map[rtid.Target]*rtlimit.Window // sends of the last second
+	own        map[rtid.Service]ownEngines
 	suspects   map[rtid.Target]suspicion
 	heard      map[rtid.Target]time.Time // last bytes of a target
 }
@@ -105,6 +108,7 @@
 		schedulers: make(map[rtid.Service]*rtplacement.Scheduler),
 		retries:    make(map[rtid.Service]*rtlimit.RetryShare),
 		starts:     make(map[rtid.Target]*rtlimit.Window),
+		own:        make(map[rtid.Service]ownEngines),
 		suspects:   make(map[rtid.Target]suspicion),
 		heard:      make(map[rtid.Target]time.Time),
 	}
--- a/internal/rtgateway/memory.go
+++ b/internal/rtgateway/memory.go
@@ -79,7 +79,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return rtplacement.Holds(q.service.Engine, q.work, target, g.candidates(view, q.service, nil, now))
+	return rtplacement.Holds(q.service.Engine, q.work, target, g.candidates(view, g.ownEngines(view, q.service), q.service, nil, now))
 }
 
 // renew keeps reservations until the context ends.
--- a/internal/rtgateway/world_test.go
+++ b/internal/rtgateway/world_test.go
@@ -22,6 +22,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
 
@@ -158,8 +159,10 @@
 // alone is a gateway without peers.
 type alone struct{}
 
-func (alone) Alive() int     { return 1 }
-func (alone) Processes() int { return 1 }
+func (alone) Alive() int { return 1 }
+
+func (alone) Cell() rtplacement.Cell { return rtplacement.Cell{} }
+func (alone) Processes() int         { return 1 }
 
 // testView lets a test change what is published.
 type testView struct{ w *world }
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -59,24 +57,35 @@
 		case <-g.nudge:
 		case <-g.options.Feed.Changed():
 		}
-		peers := g.addresses()
-		g.sendAll(socket, peers, round%rosterRounds == 0 || g.newcomer.Swap(false))
+		near, far := g.addresses()
+		message := g.message(round%rosterRounds == 0 || g.newcomer.Swap(false))
+		g.sendAll(socket, near, message)
+		if round%farRounds == 0 && len(far) > 0 {
+			message.Loads, message.Avoid = nil, nil
+			g.sendAll(socket, far, message)
+		}
 		round++
-		timer.Reset(interval * time.Duration(max(1, len(peers)/peersPerInterval)))
+		timer.Reset(interval * time.Duration(max(1, len(near)/peersPerInterval)))
 	}
 }
 
-// addresses returns the peers to send to.
-func (g *Group) addresses() []rtid.Address {
+// addresses returns the peers of the own cell and those of others.
+func (g *Group) addresses() (near, far []rtid.Address) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	addresses := slices.Collect(maps.Keys(g.peers))
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses
+	for address, p := range g.peers {
+		if p.far {
+			far = append(far, address)
+		} else {
+			near = append(near, address)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return near, far
 }
 
-// sendAll sends one digest to each peer.
-func (g *Group) sendAll(socket *net.UDPConn, peers []rtid.Address, roster bool) {
+// message returns the digest of this moment.
+func (g *Group) message(roster bool) digest {
 	message := digest{VM: g.options.VM, Address: g.options.Address, Loads: make(map[rtid.Target]reportedLoad)}
 	if view := g.options.Feed.View(); view != nil {
 		message.Revision = g.options.Feed.Revision()
@@ -95,6 +104,11 @@
 	for target, left := range g.options.Loads.Suspects() {
 		message.Avoid[target] = left.Milliseconds()
 	}
+	return message
+}
+
+// sendAll sends a digest to peers.
+func (g *Group) sendAll(socket *net.UDPConn, peers []rtid.Address, message digest) {
 	data, err := json.Marshal(message)
 	if err != nil || len(data) > maxDigest {
 		g.log.Error(err, "Digest cannot be sent.", "bytes", len(data))
@@ -118,7 +132,7 @@
 	defer g.mu.Unlock()
 	var named []rtid.Address
 	for address, p := range g.peers {
-		if time.Since(p.heard) < aliveTime && len(named) < maxNamed {
+		if time.Since(p.heard) < p.life() && len(named) < maxNamed {
 			named = append(named, address)
 		}
 	}
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -98,6 +98,7 @@
 
 	mu    sync.Mutex
 	peers map[rtid.Address]*peer
+	cell  rtplacement.Cell
 }
 
 // peer is what is known of another process.
@@ -108,6 +109,7 @@
 	contact  time.Time // with the store, as it says; zero for none
 	behind   time.Time // when this process was first seen behind it; zero if it is not
 	alive    bool      // as last logged
+	far      bool      // belongs to another cell
 }
 
 // New returns a group that knows its seeds.
@@ -147,13 +149,13 @@
 	return known
 }
 
-// Alive returns how many processes are known to run, with this one.
+// Alive returns how many processes of the cell are known to run, with this one.
 func (g *Group) Alive() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	count := 1
 	for _, p := range g.peers {
-		if time.Since(p.heard) < aliveTime {
+		if !p.far && time.Since(p.heard) < aliveTime {
 			count++
 		}
 	}
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -26,7 +26,9 @@
 		case <-ticker.C:
 		case <-g.learnt:
 		}
-		reader := g.reader(time.Now())
+		now := time.Now()
+		g.arrange(now)
+		reader := g.reader(now)
 		g.options.Feed.SetReader(reader)
 		address, ok := g.ahead(reader)
 		if !ok {
@@ -50,7 +52,7 @@
 	defer g.mu.Unlock()
 	before := 0
 	for _, p := range g.peers {
-		if now.Sub(p.heard) < freshContact && now.Sub(p.contact) < freshContact && readerRank(p.vm) < readerRank(g.options.VM) {
+		if !p.far && now.Sub(p.heard) < freshContact && now.Sub(p.contact) < freshContact && readerRank(p.vm) < readerRank(g.options.VM) {
 			before++
 		}
 	}
@@ -77,7 +79,7 @@
 	defer g.mu.Unlock()
 	var best rtid.Address
 	for address, p := range g.peers {
-		silent := time.Since(p.heard) > aliveTime
+		silent := time.Since(p.heard) > p.life()
 		if silent && p.alive {
 			p.alive = false
 			g.log.Info("Peer is silent.", "peer", p.vm, "address", address)
