Refuse headers over the limit of the configuration

Change: a header over the limit gets 431. Its size is counted without optional space, so that none within the limit is refused. The time to send a header is still a fixed 5 s: the server takes it at its start. Test: TestHeaderLimit; without the stage the second case gets 200.

--- a/internal/rtgateway/gateway_test.go
+++ b/internal/rtgateway/gateway_test.go
@@ -67,6 +67,25 @@
 	})
 }
 
+// Guards against a header limit that does not follow the configuration, and
+// against a refusal of a header within it.
+func TestHeaderLimit(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.mu.Lock()
+		w.view.Configuration.Limits.Header = 1000
+		w.mu.Unlock()
+		for _, test := range []struct{ size, status int }{
+			{500, http.StatusOK}, {1000, http.StatusRequestHeaderFieldsTooLarge}, {90000, http.StatusRequestHeaderFieldsTooLarge},
+		} {
+			id := fmt.Sprint("id-", test.size)
+			got := w.call(http.MethodPost, "/order/x", headers(id, "Long", strings.Repeat("x", test.size)), "")
+			if got.status != test.status {
+				t.Errorf("header of over %d bytes: status %d, want %d, %v", test.size, got.status, test.status, got.err)
+			}
+		}
+	})
+}
+
 // Guards against a refusal in the first moments of a process, when the
 // configuration is about to come.
 func TestWaitsForConfiguration(t *testing.T) {
--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -17,7 +17,9 @@
 	// headerTimeout and idleTimeout hold while no configuration says more.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
-	maxHeader     = 64 << 10
+	// maxHeader bounds headers before the limit of the configuration is looked
+	// at.
+	maxHeader = 1 << 20
 	// balancerDelay is the time between the end of readiness and the end of
 	// the listener: the balancer asks once a second and leaves after two misses.
 	balancerDelay = 3 * time.Second
--- a/internal/rtgateway/stages.go
+++ b/internal/rtgateway/stages.go
@@ -11,6 +11,7 @@
 // stages are the checks before a target is chosen, in order.
 var stages = []func(*Gateway, *request) *refusal{
 	(*Gateway).checkKnown,
+	(*Gateway).checkHeader,
 	(*Gateway).identify,
 	(*Gateway).checkSize,
 	(*Gateway).classify,
@@ -44,6 +45,29 @@
 	return nil
 }
 
+// checkHeader refuses headers over the limit of the configuration.
+func (g *Gateway) checkHeader(q *request) *refusal {
+	limit := int64(q.view.Configuration.Limits.Header)
+	if limit > 0 && headerSize(q.r) > limit {
+		q.discardBody()
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
+	}
+	return nil
+}
+
+// headerSize returns the least number of bytes in which a caller may have sent
+// a header: without the optional space after each name.
+func headerSize(r *http.Request) int64 {
+	const line = len(":\r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*line
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + line
+		}
+	}
+	return int64(size)
+}
+
 // identify finds the route and the organisation.
 func (g *Gateway) identify(q *request) *refusal {
 	configuration := q.view.Configuration
