--- /dev/null
+++ b/internal/rtgateway/budget.go
@@ -0,0 +1,35 @@
+package rtgateway
+
+import (
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
+)
+
+// countRequest counts a request for the retry budget of its service.
+func (g *Gateway) countRequest(service rtid.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryShare(service).Request(time.Now())
+}
+
+// takeRetry reports whether one more send of a request is within the budget.
+func (g *Gateway) takeRetry(service rtid.Service) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	share := g.retryShare(service)
+	share.Processes = g.peers.Processes()
+	return share.Take(time.Now())
+}
+
+// retryShare returns the retry budget of a service. The caller holds mu.
+func (g *Gateway) retryShare(service rtid.Service) *rtlimit.RetryShare {
+	share := g.retries[service]
+	if share == nil {
+		share = &rtlimit.RetryShare{Ratio: g.bounds.RetryRatio, Allowance: g.bounds.RetryAllowance}
+		share.Start(g.bounds.RetryWindow, g.started)
+		g.retries[service] = share
+	}
+	return share
+}
