--- a/internal/rtmodel/model_test.go
+++ b/internal/rtmodel/model_test.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// quietDay is the load of the users' day quiet-1 of kvt-windhoek: 0.8 of the
+// plan, with bursts of long, short and long prompts.
+func quietDay(kind string, at time.Duration) float64 {
+	const plan = 0.8
+	seconds := at.Seconds()
+	switch {
+	case seconds > 2.1 && seconds < 11.6, seconds > 23 && seconds < 32.5:
+		return plan * swing(kind, 0)
+	case seconds > 13 && seconds < 22.5:
+		return plan * swing(kind, 10*time.Second)
+	default:
+		return plan
+	}
+}
+
 // steady is a load that keeps to the plan.
 func steady(string, time.Duration) float64 { return 1 }
 
@@ -97,6 +112,7 @@
 		{"0.8 of it", fleetOf(21, 4), overload(0.8)},
 		{"1.5 times", fleetOf(21, 4), overload(1.5)},
 		{"2.5 times", fleetOf(21, 4), overload(2.5)},
+		{"quiet day", fleetOf(21, 4), quietDay},
 		{"swing between short and long", fleetOf(21, 4), swing},
 		{"swing, a third of the engines away", fleetOf(14, 4), swing},
 		{"swing, many gateways", fleetOf(21, 20), swing},
