--- a/internal/rtpeer/cell.go
+++ b/internal/rtpeer/cell.go
@@ -50,7 +50,7 @@
 	for i, p := range order {
 		p.far = rtplacement.CellOf(i, len(order), cells) != g.cell.Index
 	}
-	if g.cell != before && cells+before.Count > 2 {
+	if g.cell != before && max(cells, before.Count) > 1 {
 		g.log.Info("Cell changed.", "cell", g.cell.Index, "cells", cells, "processes", len(order))
 	}
 }
--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -15,7 +15,7 @@
 // Pressure is how busy the engines for long reads are.
 type Pressure struct {
 	Backlog time.Duration // of reading, mean over the engines
-	Engines int           // of the whole service
+	Engines int           // that may be used, of both pools
 }
 
 const (
@@ -66,8 +66,8 @@
 		return admitWide(work, choice, pressure)
 	}
 	aim := time.Duration(aimShare * float64(work.Aim))
-	// What an engine has got is read in its next pass, all at once.
-	// Only engines with little to read take a part that is long by itself.
+	// What an engine has got is read in its next pass, all at once. Only engines
+	// with little to read take a part that is long by itself.
 	full := pressure.Backlog > max(gapPart-shortPass-choice.Part, emptyBacklog)
 	inTime := work.Waited+choice.First <= aim
 	switch {
--- a/internal/rtplacement/cell.go
+++ b/internal/rtplacement/cell.go
@@ -18,8 +18,8 @@
 	Count int // of cells; 0 and 1 for the whole deployment
 }
 
-// CellOf returns the cell of what has a rank among all in an order that all
-// processes share.
+// CellOf returns the cell of the process or engine with a rank, from 0, among
+// all of them in an order that all processes share.
 func CellOf(rank, all, cells int) int { return rank * cells / max(1, all) }
 
 // Engines returns the instances that belong to the cell.
