--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// headerTimeout and idleTimeout hold while no configuration says more.
+	// headerTimeout bounds the time to send a header; the server takes it at its
+	// start, so that it does not follow the configuration.
 	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
+	// idleTimeout holds while the configuration names none.
+	idleTimeout = 60 * time.Second
 	// maxHeader bounds headers before the limit of the configuration is looked
 	// at.
 	maxHeader = 1 << 20
