--- a/internal/rtdelivery/course_test.go
+++ b/internal/rtdelivery/course_test.go
@@ -85,6 +85,30 @@
 	}
 }
 
+// leaving is a carrier whose caller leaves during the first offer.
+type leaving struct {
+	scripted
+	leave context.CancelFunc
+}
+
+func (l *leaving) Offer(ctx context.Context) Verdict {
+	l.leave()
+	return l.scripted.Offer(ctx)
+}
+
+// Guards against work for a caller that has left, and against a retry that is
+// taken from the budget for it.
+func TestRunEndsWithItsCaller(t *testing.T) {
+	for _, verdict := range []Verdict{Unsent, Elsewhere, Unhelped, Refused, Lost, Failed} {
+		ctx, cancel := context.WithCancel(context.Background())
+		carrier := &leaving{scripted: scripted{verdicts: []Verdict{verdict, Done}, budget: 1}, leave: cancel}
+		course := Course{Limits: stream}
+		if ending := course.Run(ctx, carrier); ending != Spent || len(carrier.made) != 1 || carrier.budget != 1 {
+			t.Errorf("%v: ending %v after %d offers, budget %d", verdict, ending, len(carrier.made), carrier.budget)
+		}
+	}
+}
+
 // Guards against a second run of what may run once, and against a promise that
 // is not true, for all sequences of verdicts and all limits.
 func TestPromises(t *testing.T) {
