--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -60,14 +60,14 @@
 
 // spentReasons are the reasons of refusals by the verdict of the last send.
 var spentReasons = map[rtdelivery.Verdict]string{
-	rtdelivery.Lost:       "target lost",
+	rtdelivery.Lost:       "connection to target lost",
 	rtdelivery.Unsent:     "targets cannot be reached",
-	rtdelivery.Refused:    "target not run",
+	rtdelivery.Refused:    "target refused",
 	rtdelivery.Elsewhere:  "targets have changed",
 	rtdelivery.Unhelped:   "helpers refuse",
 	rtdelivery.Impossible: "no memory for the prompt",
 	rtdelivery.Failed:     "target failed",
-	rtdelivery.Expired:    "target expired",
+	rtdelivery.Expired:    "time over at target",
 }
 
 // newDelivery returns the delivery of a request within the attempts of its
--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -96,7 +96,7 @@
 	defer cancel()
 	err := front.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		g.log.Info("Requests still run at the end of the time to stop.")
+		g.log.Info("Requests still run at the end of the time to stop, their connections are closed.")
 		err = front.Close()
 	}
 	g.log.Info("Stopped.", "took", time.Since(began).String())
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -111,13 +111,13 @@
 func (g *Group) sendAll(socket *net.UDPConn, peers []rtid.Address, message digest) {
 	data, err := json.Marshal(message)
 	if err != nil || len(data) > maxDigest {
-		g.log.Error(err, "Digest cannot be sent.", "bytes", len(data))
+		g.log.Error(err, "Digest cannot be sent, peers do not learn the loads of this process.", "bytes", len(data))
 		return
 	}
 	for _, address := range peers {
 		to, err := net.ResolveUDPAddr("udp", string(address))
 		if err != nil {
-			g.log.Error(err, "Peer has no address.", "peer", address)
+			g.log.Error(err, "Address of a peer cannot be used, it gets no digest.", "peer", address)
 			continue
 		}
 		if _, err := socket.WriteToUDP(data, to); err != nil {
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -113,7 +113,7 @@
 	listener, err := (&rtnet.TCP{}).Listen(p.settings.Gateway.Metrics)
 	if err != nil {
 		// Serving callers goes on without it.
-		p.log.Error(err, "Metrics are not served.")
+		p.log.Error(err, "Metrics are not served, callers are.")
 		return nil
 	}
 	server := &http.Server{Handler: p.metrics.Handler, ReadHeaderTimeout: time.Second}
