Log and count responses that are broken off

A caller whose stream was broken off left no trace: after the head has been sent the gateway can only close the connection, and it did so without a log line or a metric. A lost attempt did not say either whether its response had begun, nor the times of its events.

Each such response now has a line "Response broken off." with the reason, the last attempt's detail (including an exhausted retry budget), the last event and the predicted time at the target that was considered, and is counted in broken_off{reason}. TestBrokenStreamIsLogged fails without the change.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -19,8 +19,8 @@
 	outcome        rtdelivery.AttemptOutcome
 	detail         string
 	failedResponse *storedResponse // response of the target, for rtdelivery.Failed
-	firstEvent     time.Duration   // from the send to the first event, for a stream that is done
-	longestGap     time.Duration   // between two events, for a stream that is done
+	firstEvent     time.Duration   // from the send to the first event; 0 if there was none
+	longestGap     time.Duration   // between two events
 }
 
 // storedResponse is a whole response of a target. A failed one is passed to
@@ -44,6 +44,7 @@
 	failedResponse *storedResponse // of an earlier attempt
 	headWritten    bool            // status and headers have been written to the caller
 	lastEventID    string          // ID of the last whole event that was written to the caller
+	lastEventAt    time.Time       // when it was received; zero before the first event
 }
 
 const (
@@ -96,12 +97,12 @@
 	case rtdelivery.NoTarget:
 		return d.refusal
 	default:
+		if reason == rtdelivery.RetryBudgetExhausted {
+			d.lastDetail += ", retry budget exhausted"
+		}
 		refused := d.giveUp(exhaustedReasons[d.attempts.LastOutcome()])
 		if refused != nil {
 			refused.detail = d.lastDetail
-			if reason == rtdelivery.RetryBudgetExhausted {
-				refused.detail += ", retry budget exhausted"
-			}
 		}
 		return refused
 	}
@@ -199,9 +200,7 @@
 // room.
 func (d *delivery) giveUpAfter(reason string, delay time.Duration) *refusal {
 	if d.headWritten {
-		// The head of the response says success, so only a broken connection shows
-		// that the rest is missing.
-		panic(http.ErrAbortHandler)
+		d.breakOff(reason)
 	}
 	switch d.attempts.Outcome() {
 	case rtdelivery.RanAndFailed:
@@ -219,13 +218,24 @@
 	}
 }
 
+// breakOff closes the connection of a caller whose response has begun. The head
+// says success, so only a broken connection shows that the rest is missing.
+func (d *delivery) breakOff(reason string) {
+	now := time.Now()
+	d.gateway.log.Info("Response broken off.", "request", d.request.info.ID, "reason", reason, "detail", d.lastDetail,
+		"event", d.lastEventID, "predicted", d.scheduled.PredictedFirstEvent.String(), "idle", now.Sub(d.lastEventAt).String(),
+		"took", now.Sub(d.request.arrived).String())
+	d.gateway.metrics.Scope.Tagged(map[string]string{"reason": reason}).Counter("broken_off").Inc(1)
+	panic(http.ErrAbortHandler)
+}
+
 // logAttempt logs and counts one attempt.
 func (d *delivery) logAttempt(s scheduled, r result, sent time.Time) {
 	d.gateway.log.Info("Sent.", "request", d.request.info.ID, "route", d.request.route.Name,
 		"target", s.Target.ID, "prompt", d.request.work.Prompt,
 		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(),
 		"backlog", s.LongPool.PrefillBacklog.String(),
-		"outcome", r.outcome.String(), "detail", r.detail,
+		"outcome", r.outcome.String(), "detail", r.detail, "begun", d.headWritten,
 		"first", r.firstEvent.String(), "pause", r.longestGap.String(), "revision", d.request.view.Revision,
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String())
 	tags := map[string]string{"outcome": r.outcome.String()}
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -67,13 +67,20 @@
 // forwardEvents passes events on as they are received. It writes only whole
 // events, so that another target can continue after the last of them.
 func (r *relay) forwardEvents(ctx context.Context) result {
+	ended := r.relayEvents(ctx)
+	ended.firstEvent, ended.longestGap = r.firstEvent, r.longestGap
+	return ended
+}
+
+// relayEvents is forwardEvents without the times in the result.
+func (r *relay) relayEvents(ctx context.Context) result {
 	d := r.delivery
 	control := http.NewResponseController(d.request.w)
 	for {
 		event, err := r.response.NextEvent()
 		if errors.Is(err, io.EOF) {
 			r.startResponse()
-			return result{outcome: rtdelivery.Done, detail: "complete", firstEvent: r.firstEvent, longestGap: r.longestGap}
+			return result{outcome: rtdelivery.Done, detail: "complete"}
 		}
 		if err != nil {
 			return d.exchangeFailed(ctx, r.target, err)
@@ -99,6 +106,7 @@
 func (r *relay) recordEvent(now time.Time) {
 	gap := now.Sub(r.lastEventAt)
 	r.lastEventAt = now
+	r.delivery.lastEventAt = now
 	if r.firstEvent == 0 {
 		r.firstEvent = gap
 		return
--- a/internal/rtgateway/stream_test.go
+++ b/internal/rtgateway/stream_test.go
@@ -87,6 +87,29 @@
 	})
 }
 
+// Guards against a response that is broken off without a log line that says why
+// and after which event.
+func TestBrokenStreamIsLogged(t *testing.T) {
+	withTestbed(t, 2, func(b *testbed) {
+		for _, target := range b.targets {
+			target.set(breakAfter(2, "", closeConnection))
+		}
+		b.call(http.MethodPost, "/once/x", headers("id-1"), "")
+		lines := b.logged("Response broken off.")
+		if len(lines) != 1 {
+			t.Fatalf("logged %d times that the response was broken off, want once: %q", len(lines), lines)
+		}
+		for _, want := range []string{`"request"="id-1"`, `"reason"="connection to target lost"`, `"detail"="unexpected EOF"`, `"event"="2"`} {
+			if !strings.Contains(lines[0], want) {
+				t.Errorf("log line %s does not contain %s", lines[0], want)
+			}
+		}
+		if sent := b.logged("Sent."); len(sent) != 1 || !strings.Contains(sent[0], `"begun"=true`) {
+			t.Errorf("lines of attempts %q, want one that says that the response had begun", sent)
+		}
+	})
+}
+
 // Guards against a target that continues to work for a caller that has
 // disconnected.
 func TestCallerLeaves(t *testing.T) {
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -15,7 +15,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
@@ -119,6 +119,7 @@
 
 	mu   sync.Mutex
 	runs []*run
+	log  []string // lines of the gateway
 }
 
 const (
@@ -193,7 +194,7 @@
 			Bounds: Bounds{RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, Grace: grace, ColdFactor: 1.5},
 		}, Dependencies{
 			Network:     b.network.Host("10.0.0.1"),
-			Log:         logr.Discard(),
+			Log:         funcr.New(b.addLogLine, funcr.Options{}),
 			Metrics:     metrics,
 			Dialect:     testDialect{},
 			Views:       testViews{b},
@@ -213,6 +214,25 @@
 	})
 }
 
+func (b *testbed) addLogLine(_, line string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.log = append(b.log, line)
+}
+
+// logged returns the lines of the gateway's log that contain a text.
+func (b *testbed) logged(text string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var lines []string
+	for _, line := range b.log {
+		if strings.Contains(line, text) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 // publish publishes a configuration and all targets.
 func (b *testbed) publish(c *rtcatalog.Configuration) {
 	b.mu.Lock()
