--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -130,6 +130,7 @@
 			d.tried = append(d.tried, candidate.Target.ID)
 			return true
 		case rtplacement.Refuse:
+			d.scheduled = candidate
 			d.refusal = d.refuseOverload(candidate)
 			return false
 		}
--- a/internal/rtgateway/gateway_test.go
+++ b/internal/rtgateway/gateway_test.go
@@ -394,13 +394,24 @@
 	})
 }
 
+// engineCosts are the costs of an engine as operators publish them.
+var engineCosts = &rtcatalog.Engine{
+	Slots: 16, Memory: 300000, StepsPerPass: 51, StepTime: 850 * time.Microsecond,
+	PrefillPerToken: 5650 * time.Nanosecond, PrefillPerMillionPairs: 184 * time.Microsecond,
+}
+
+// useInteractiveEngines makes the targets engines, with the interactive routes of
+// the testbed.
+func useInteractiveEngines(b *testbed) {
+	c := newConfiguration(2)
+	c.Services[0].Engine = engineCosts
+	b.publish(c)
+}
+
 // useEngineService turns the service of the testbed into an engine service.
 func useEngineService(b *testbed) {
 	c := newConfiguration(2)
-	c.Services[0].Engine = &rtcatalog.Engine{
-		Slots: 16, Memory: 300000, StepsPerPass: 51, StepTime: 850 * time.Microsecond,
-		PrefillPerToken: 5650 * time.Nanosecond, PrefillPerMillionPairs: 184 * time.Microsecond,
-	}
+	c.Services[0].Engine = engineCosts
 	for i := range c.Routes {
 		c.Routes[i].LatencySLO = 3 * time.Second
 		if c.Routes[i].Kind == rtcatalog.KindStream {
