Cancel a silent attempt only when another one can follow

Callers of streams got some events and then a closed connection, others 502, although their engine was alive and would have gone on.

Cause: 1.2 s after the last event (0.6 of the abandon timeout) the watchdog cancelled the attempt, and only then the gateway looked for another target and a retry. The class of the fault: a step that cannot be taken back, before what must follow it is certain.

Now the watchdog first reserves the next attempt, a target that admission control would send to now and a retry from the budget. Without one the attempt goes on, and the watchdog tries again each 40 ms. The log says "Silent target kept." with the reason.

--- a/internal/rtgateway/budget.go
+++ b/internal/rtgateway/budget.go
@@ -24,6 +24,16 @@
 	return share.Take(time.Now())
 }
 
+// retryAvailable reports whether the retry budget of a service allows one more
+// retry.
+func (g *Gateway) retryAvailable(service rtid.Service) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	share := g.retryShare(service)
+	share.Processes = g.peers.BudgetProcesses()
+	return share.Available(time.Now())
+}
+
 // retryShare returns this process's share of the retry budget of a service.
 // The caller holds mu.
 func (g *Gateway) retryShare(service rtid.Service) *rtlimit.RetryShare {
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -39,6 +39,7 @@
 
 	tried          []rtid.Target
 	scheduled      scheduled       // of the current attempt
+	successor      *scheduled      // reserved for the next attempt, its retry is taken; nil for none
 	refusal        *refusal        // why no target was selected; nil if the caller has disconnected
 	lastDetail     string          // detail of the last attempt
 	failedResponse *storedResponse // of an earlier attempt
@@ -62,6 +63,8 @@
 	admitInterval = 40 * time.Millisecond
 )
 
+const retryBudgetExhausted = "retry budget exhausted"
+
 // exhaustedReasons are the reasons of refusals after the last attempt, by its
 // outcome.
 var exhaustedReasons = map[rtdelivery.AttemptOutcome]string{
@@ -91,6 +94,7 @@
 // caller has a response or has disconnected.
 func (d *delivery) run(ctx context.Context) *refusal {
 	d.gateway.countRequest(d.request.service.Name)
+	defer d.dropSuccessor()
 	switch reason := d.attempts.Run(ctx, d); reason {
 	case rtdelivery.Answered:
 		return nil
@@ -98,7 +102,7 @@
 		return d.refusal
 	default:
 		if reason == rtdelivery.RetryBudgetExhausted {
-			d.lastDetail += ", retry budget exhausted"
+			d.lastDetail += ", " + retryBudgetExhausted
 		}
 		refused := d.giveUp(exhaustedReasons[d.attempts.LastOutcome()])
 		if refused != nil {
@@ -113,6 +117,11 @@
 // receive the request, it waits until half the latency SLO after the arrival.
 func (d *delivery) SelectTarget(ctx context.Context) bool {
 	q := d.request
+	if next, ok := d.takeSuccessor(); ok {
+		d.scheduled = next
+		d.tried = append(d.tried, next.Target.ID)
+		return true
+	}
 	for {
 		candidate, ok := d.gateway.place(q, d.tried)
 		if !ok {
@@ -158,8 +167,13 @@
 	return attempted.outcome
 }
 
-// TakeRetry takes one retry from the retry budget of the service.
+// TakeRetry takes one retry from the retry budget of the service, unless the
+// watchdog has taken it.
 func (d *delivery) TakeRetry(after rtdelivery.AttemptOutcome) bool {
+	return d.successor != nil || d.takeRetry(after)
+}
+
+func (d *delivery) takeRetry(after rtdelivery.AttemptOutcome) bool {
 	if !d.gateway.takeRetry(d.request.service.Name) {
 		return false
 	}
--- a/internal/rtgateway/watchdog.go
+++ b/internal/rtgateway/watchdog.go
@@ -2,59 +2,136 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdelivery"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 )
 
 // silenceShare is the part of the abandon timeout, or for safe requests of the
-// time until the deadline, after which an attempt at a silent target is
+// time until the deadline, after which an attempt at a silent target may be
 // cancelled. The rest is left for another target.
 const silenceShare = 0.6
 
 // watchdog cancels an attempt whose target sends nothing for too long, if
-// another attempt may follow. The timeout begins with the attempt, and again
-// with each event of a stream.
+// another attempt can follow. A silent target may still answer, so it does not
+// cancel before it has a target and a retry for the next attempt. The timeout
+// begins with the attempt, and again with each event of a stream.
 type watchdog struct {
+	delivery *delivery
+	target   rtid.Target
+	cancel   context.CancelCauseFunc
+	started  time.Time
+	timeout  time.Duration
+
+	mu      sync.Mutex
 	timer   *time.Timer // nil if no further attempt may follow
-	timeout time.Duration
+	stopped bool
+	logged  bool // that there is no successor
 }
 
 // startWatchdog starts the watchdog of one attempt. When the timeout expires, it
-// cancels the attempt, with one exception: a stream whose target has responded
-// to this process, for this or any other request, later than half a timeout
-// after the start of the attempt. Such a target counts as busy rather than
-// silent, and the watchdog does nothing until the next event restarts it.
+// cancels the attempt as soon as another one can follow, with one exception: a
+// stream whose target has responded to this process, for this or any other
+// request, later than half a timeout after the start of the attempt. Such a
+// target counts as busy rather than silent, and the watchdog does nothing until
+// the next event restarts it.
 func (d *delivery) startWatchdog(target rtid.Target, cancel context.CancelCauseFunc) *watchdog {
-	route := d.request.route
+	w := &watchdog{delivery: d, target: target, cancel: cancel, started: time.Now()}
 	if d.attempts.IsLastAttempt() {
-		return &watchdog{}
+		return w
 	}
-	timeout := time.Duration(silenceShare * float64(d.request.work.AbandonTimeout))
-	if route.Kind == rtcatalog.KindSafe {
-		timeout = time.Duration(silenceShare * float64(time.Until(d.request.deadline)))
+	w.timeout = time.Duration(silenceShare * float64(d.request.work.AbandonTimeout))
+	if d.request.route.Kind == rtcatalog.KindSafe {
+		w.timeout = time.Duration(silenceShare * float64(time.Until(d.request.deadline)))
 	}
-	sent := time.Now()
-	w := &watchdog{timeout: timeout}
-	w.timer = time.AfterFunc(timeout, func() {
-		if route.Kind == rtcatalog.KindStream && d.gateway.respondedSince(target, sent.Add(timeout/2)) {
-			return
-		}
-		cancel(errSilent)
-	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.timeout, w.expire)
 	return w
 }
 
+// expire cancels the attempt if there is a successor, and otherwise tries again
+// a little later.
+func (w *watchdog) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stream := w.delivery.request.route.Kind == rtcatalog.KindStream
+	if w.stopped || stream && w.delivery.gateway.respondedSince(w.target, w.started.Add(w.timeout/2)) {
+		return
+	}
+	if reason := w.delivery.reserveSuccessor(); reason != "" {
+		if !w.logged {
+			w.logged = true
+			w.delivery.gateway.log.Info("Silent target kept.", "request", w.delivery.request.info.ID, "target", w.target, "reason", reason)
+		}
+		w.timer.Reset(admitInterval)
+		return
+	}
+	w.stopped = true
+	w.cancel(errSilent)
+}
+
 // reset restarts the timeout.
 func (w *watchdog) reset() {
-	if w.timer != nil {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil && !w.stopped {
 		w.timer.Reset(w.timeout)
 	}
 }
 
+// stop ends the watchdog. The attempt is not cancelled afterwards, and the
+// delivery gets no successor.
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
+
+// reserveSuccessor reserves a target and a retry for the attempt that follows if
+// the current one is cancelled. It returns why there is none, or nothing. The
+// watchdog of the current attempt calls it.
+func (d *delivery) reserveSuccessor() string {
+	if !d.gateway.retryAvailable(d.request.service.Name) {
+		// Checked first: a placement counts against the rate limit of its target.
+		return retryBudgetExhausted
+	}
+	next, ok := d.gateway.place(d.request, d.tried)
+	switch {
+	case !ok:
+		return "no other target"
+	case next.Decision != rtplacement.Send:
+		return "other targets have no room"
+	case !d.takeRetry(rtdelivery.Lost):
+		d.gateway.finish(next.inFlight)
+		return retryBudgetExhausted
+	}
+	d.successor = &next
+	return ""
+}
+
+// takeSuccessor returns the reserved successor, if any. The caller makes the
+// attempt.
+func (d *delivery) takeSuccessor() (scheduled, bool) {
+	if d.successor == nil {
+		return scheduled{}, false
+	}
+	next := *d.successor
+	d.successor = nil
+	return next, true
+}
+
+// dropSuccessor releases a reserved successor that is not needed: the current
+// attempt has ended the request before it was cancelled.
+func (d *delivery) dropSuccessor() {
+	if next, ok := d.takeSuccessor(); ok {
+		d.gateway.finish(next.inFlight)
+	}
+}
--- a/internal/rtlimit/window.go
+++ b/internal/rtlimit/window.go
@@ -63,14 +63,19 @@
 // Take takes one retry from the budget. It reports false if the budget is
 // exhausted.
 func (s *RetryShare) Take(now time.Time) bool {
+	if !s.Available(now) {
+		return false
+	}
+	s.retries.Add(now)
+	return true
+}
+
+// Available reports whether the budget allows one more retry.
+func (s *RetryShare) Available(now time.Time) bool {
 	share := budgetShare
 	if now.Sub(s.started) < s.retries.Span {
 		share = startBudgetShare
 	}
 	allowed := share * (s.Ratio*float64(s.requests.Count(now)) + s.Allowance/float64(max(1, s.Processes)))
-	if float64(s.retries.Count(now)+1) > allowed {
-		return false
-	}
-	s.retries.Add(now)
-	return true
+	return float64(s.retries.Count(now)+1) <= allowed
 }
