Continue answers that have begun instead of refusing them

Cause: the next attempt was judged like a new request. Its waiting time was counted from the arrival, although the caller waits anew after each event; admission control refused it as overloaded; without a usable target it was given up after half the latency SLO from the arrival, and in a process that drains at once. A refusal is harmless before the answer begins and breaks it off afterwards.

Now the waiting time counts from the last event, admission control sends or delays an answer that has begun and never refuses it, and it waits for a target as long as its caller does, also while the process drains.

TestLongStreamResumes and TestLostStreamWaitsForTarget (also draining) failed before and pass now; TestAdmit has the new rows.

--- a/internal/rtgateway/continuation_test.go
+++ b/internal/rtgateway/continuation_test.go
@@ -1,6 +1,7 @@
 package rtgateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -129,16 +130,27 @@
 // continue it at that moment, although its caller still waits for the next
 // event.
 func TestLostStreamWaitsForTarget(t *testing.T) {
-	withTestbed(t, 1, func(b *testbed) {
-		b.targets[0].set(breakAfter(2, "", func(net.Conn) {
-			time.AfterFunc(time.Second, func() {
-				b.addTarget(1)
-				b.publish(newConfiguration(2))
+	for _, draining := range []bool{false, true} {
+		t.Run(fmt.Sprint("draining ", draining), func(t *testing.T) {
+			withTestbed(t, 1, func(b *testbed) {
+				stopped := make(chan error, 1)
+				b.targets[0].set(breakAfter(2, "", func(net.Conn) {
+					if draining {
+						go func() { stopped <- b.stop() }()
+					}
+					time.AfterFunc(time.Second, func() {
+						b.addTarget(1)
+						b.publish(newConfiguration(2))
+					})
+				}))
+				got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+				if got.err != nil || got.status != http.StatusOK || got.body != allEvents() {
+					t.Errorf("got status %d, body %q, error %v; want the whole stream; attempts %s", got.status, got.body, got.err, describe(b.allRuns()))
+				}
+				if draining {
+					<-stopped // withTestbed checks the result
+				}
 			})
-		}))
-		got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
-		if got.err != nil || got.status != http.StatusOK || got.body != allEvents() {
-			t.Errorf("got status %d, body %q, error %v; want the whole stream; attempts %s", got.status, got.body, got.err, describe(b.allRuns()))
-		}
-	})
+		})
+	}
 }
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -112,9 +112,27 @@
 	}
 }
 
+// waitingSince returns since when the caller has waited for the next event.
+func (d *delivery) waitingSince() time.Time {
+	if d.lastEventAt.IsZero() {
+		return d.request.arrived
+	}
+	return d.lastEventAt
+}
+
+// noTargetTimeout is how long the request waits while no target may receive it.
+// A refusal lets the caller retry elsewhere, but it would break off an answer
+// that has begun.
+func (d *delivery) noTargetTimeout() time.Duration {
+	if d.headWritten {
+		return d.request.work.AbandonTimeout
+	}
+	return d.request.route.LatencySLO / 2
+}
+
 // SelectTarget selects the target of the next attempt. It waits while the
-// scheduler decides that the request should be sent later. While no target may
-// receive the request, it waits until half the latency SLO after the arrival.
+// scheduler decides that the request should be sent later, and up to
+// noTargetTimeout while no target may receive it.
 func (d *delivery) SelectTarget(ctx context.Context) bool {
 	q := d.request
 	if next, ok := d.takeSuccessor(); ok {
@@ -123,9 +141,11 @@
 		return true
 	}
 	for {
-		candidate, ok := d.gateway.place(q, d.tried)
+		work := q.work
+		work.Waited, work.Begun = time.Since(d.waitingSince()), d.headWritten
+		candidate, ok := d.gateway.place(q, work, d.tried)
 		if !ok {
-			if time.Since(q.arrived) >= q.route.LatencySLO/2 {
+			if work.Waited >= d.noTargetTimeout() {
 				d.refusal = d.giveUp("no target")
 				return false
 			}
@@ -184,7 +204,7 @@
 // waitForRoom waits until the placement should be tried again. It reports true
 // if the request must not wait any longer, with the refusal to write, if any.
 func (d *delivery) waitForRoom(ctx context.Context) (*refusal, bool) {
-	if d.gateway.drainingSince.Load() != nil {
+	if d.gateway.drainingSince.Load() != nil && !d.headWritten {
 		return d.giveUp("leaving"), true
 	}
 	timer := time.NewTimer(admitInterval)
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -29,9 +29,9 @@
 	inFlight *rtplacement.InFlightRequest // must be finished; nil unless the request is sent
 }
 
-// place decides where a request goes and whether to send it now. It reports
-// false if no target may receive it.
-func (g *Gateway) place(q *request, tried []rtid.Target) (scheduled, bool) {
+// place decides where the work of a request goes and whether to send it now. It
+// reports false if no target may receive it.
+func (g *Gateway) place(q *request, work rtplacement.Work, tried []rtid.Target) (scheduled, bool) {
 	view := g.views.View()
 	now := time.Now()
 	g.mu.Lock()
@@ -42,8 +42,6 @@
 		// availability zone.
 		candidates = g.candidates(view, view.Instances(q.service.Name), q.service, tried, now)
 	}
-	work := q.work
-	work.Waited = now.Sub(q.arrived)
 	var placed scheduled
 	var ok bool
 	if q.service.Engine != nil {
--- a/internal/rtgateway/watchdog.go
+++ b/internal/rtgateway/watchdog.go
@@ -28,6 +28,7 @@
 	timeout  time.Duration
 
 	mu      sync.Mutex
+	waiting time.Time   // since when the caller waits for the next event
 	timer   *time.Timer // nil if no further attempt may follow
 	stopped bool
 	logged  bool // that there is no successor
@@ -40,7 +41,7 @@
 // target counts as busy rather than silent, and the watchdog does nothing until
 // the next event restarts it.
 func (d *delivery) startWatchdog(target rtid.Target, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{delivery: d, target: target, cancel: cancel, started: time.Now()}
+	w := &watchdog{delivery: d, target: target, cancel: cancel, started: time.Now(), waiting: d.waitingSince()}
 	if d.attempts.IsLastAttempt() {
 		return w
 	}
@@ -63,7 +64,7 @@
 	if w.stopped || stream && w.delivery.gateway.respondedSince(w.target, w.started.Add(w.timeout/2)) {
 		return
 	}
-	if reason := w.delivery.reserveSuccessor(); reason != "" {
+	if reason := w.delivery.reserveSuccessor(time.Since(w.waiting)); reason != "" {
 		if !w.logged {
 			w.logged = true
 			w.delivery.gateway.log.Info("Silent target kept.", "request", w.delivery.request.info.ID, "target", w.target, "reason", reason)
@@ -75,10 +76,11 @@
 	w.cancel(errSilent)
 }
 
-// reset restarts the timeout.
+// reset restarts the timeout after an event.
 func (w *watchdog) reset() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.waiting = time.Now()
 	if w.timer != nil && !w.stopped {
 		w.timer.Reset(w.timeout)
 	}
@@ -97,13 +99,18 @@
 
 // reserveSuccessor reserves a target and a retry for the attempt that follows if
 // the current one is cancelled. It returns why there is none, or nothing. The
-// watchdog of the current attempt calls it.
-func (d *delivery) reserveSuccessor() string {
+// watchdog of the current attempt calls it; waited is how long the caller has
+// waited for the next event.
+func (d *delivery) reserveSuccessor(waited time.Duration) string {
 	if !d.gateway.retryAvailable(d.request.service.Name) {
 		// Checked first: a placement counts against the rate limit of its target.
 		return retryBudgetExhausted
 	}
-	next, ok := d.gateway.place(d.request, d.tried)
+	// The current attempt may still succeed, so an answer that has begun gets no
+	// precedence over others here.
+	work := d.request.work
+	work.Waited = waited
+	next, ok := d.gateway.place(d.request, work, d.tried)
 	switch {
 	case !ok:
 		return "no other target"
--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -60,8 +60,18 @@
 // time, sending all at once would make all of them late, because they share the
 // engines. So a long request that is predicted to meet its latency SLO is sent
 // as soon as the backlog leaves room for it; one that will miss it waits for
-// idle engines until its abandon timeout.
+// idle engines until its abandon timeout. An answer that has begun is never
+// refused, because that would break it off.
 func Admit(work Work, placement Placement, pool LongPoolLoad) Decision {
+	decision := admitNew(work, placement, pool)
+	if decision == Refuse && work.Begun {
+		return Send
+	}
+	return decision
+}
+
+// admitNew is Admit for a request whose answer has not begun.
+func admitNew(work Work, placement Placement, pool LongPoolLoad) Decision {
 	remaining := work.AbandonTimeout - work.Waited
 	switch {
 	case placement.PredictedFirstEvent > remaining:
--- a/internal/rtplacement/engine.go
+++ b/internal/rtplacement/engine.go
@@ -16,8 +16,9 @@
 	Output         rtid.Tokens
 	LatencySLO     time.Duration // time to the first event
 	GapSLO         time.Duration // longest gap between events
-	AbandonTimeout time.Duration // time to the first event after which the caller gives up
-	Waited         time.Duration // since the caller sent it
+	AbandonTimeout time.Duration // time to the first event, or between two events, after which the caller gives up
+	Waited         time.Duration // since the caller sent it, or received the last event
+	Begun          bool          // the caller has received a part of the answer
 }
 
 // Load is the known load on one target.
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -37,10 +37,16 @@
 	longWork  = Work{Prompt: 154000, Output: 800, LatencySLO: 3 * time.Second, GapSLO: time.Second, AbandonTimeout: 12 * time.Second}
 )
 
+// begun returns work whose answer has begun.
+func begun(work Work) Work {
+	work.Begun = true
+	return work
+}
+
 // Guards against a long prompt that is sent although engines have no room, so
 // that it and other requests are late; against one that waits although engines
 // have room; and against a request that waits although no engines can serve it
-// before its caller gives up.
+// before its caller gives up, unless its answer has begun.
 func TestAdmit(t *testing.T) {
 	busyPool := LongPoolLoad{PrefillBacklog: 400 * time.Millisecond, Engines: 21}
 	idlePool := LongPoolLoad{Engines: 21}
@@ -78,6 +84,10 @@
 		{"blocking parts, engines decode, waited over half of the abandon timeout", longWork, 6100 * time.Millisecond, withLoad(withPart(2*time.Second), 0, 1), idlePool, Refuse},
 		{"parts longer than the latency SLO, more engines may be free later", longWork, 0, withPart(3500 * time.Millisecond), idlePool, Wait},
 		{"more than all engines prefill within the latency SLO", longWork, 0, withPart(5 * time.Second), idlePool, Refuse},
+		{"begun, predicted after the abandon timeout", begun(shortWork), 0, Placement{PredictedFirstEvent: 3 * time.Second}, idlePool, Send},
+		{"begun, long, engines have a backlog", begun(longWork), 0, Placement{PredictedFirstEvent: time.Second, PartPrefill: 200 * time.Millisecond}, busyPool, Wait},
+		{"begun, blocking parts, engines decode, waited over half of the abandon timeout", begun(longWork), 6100 * time.Millisecond, withLoad(withPart(2*time.Second), 0, 1), idlePool, Send},
+		{"begun, more than all engines prefill within the latency SLO", begun(longWork), 0, withPart(5 * time.Second), idlePool, Send},
 		{"large prompt, few engines", longWork, 0, withPart(2 * time.Second), fewEngines, Refuse},
 	}
 	for _, test := range tests {
