Test that a stream is continued after its target falls silent late

What callers would see: a stream stops in the middle and is not continued, although other engines are idle; they abandon it after 2 s.

Cause: the watchdog takes a target that has responded later than half a timeout after the start of the attempt for busy. It counts the events of the stream itself, and compares with the start of the attempt instead of the last event, so any stream that has sent events for longer than 0.6 s is never continued.

--- /dev/null
+++ b/internal/rtgateway/running_test.go
@@ -0,0 +1,55 @@
+package rtgateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// sendSlowly returns a script that sends a number of events, each after a pause,
+// and then calls end.
+func sendSlowly(wholeEvents int, pause time.Duration, end script) script {
+	return func(c net.Conn, r *run) {
+		_, _ = io.WriteString(c, r.responseHead(200, chunked))
+		for i := r.lastEvent() + 1; i <= r.lastEvent()+wholeEvents; i++ {
+			time.Sleep(pause)
+			_, _ = io.WriteString(c, chunk(event(i)))
+		}
+		end(c, r)
+	}
+}
+
+// firstRun makes the first attempt follow a script, and all others answerOK.
+func (b *testbed) firstRun(first script) {
+	for _, target := range b.targets {
+		target.set(func(c net.Conn, r *run) {
+			if len(b.allRuns()) == 1 {
+				first(c, r)
+				return
+			}
+			answerOK(c, r)
+		})
+	}
+}
+
+// Guards against a stream that no other target continues because its target has
+// sent events for a while before it fell silent: its own events must not count as
+// signs of life after the last of them.
+func TestSilentAfterEvents(t *testing.T) {
+	for _, pause := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			withTestbed(t, 2, func(b *testbed) {
+				const wholeEvents = 4
+				b.firstRun(sendSlowly(wholeEvents, pause, neverAnswer))
+				got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+				silence := got.took - wholeEvents*pause
+				if got.err != nil || got.body != allEvents() || silence >= testRoutes[2].AbandonTimeout() {
+					t.Errorf("got status %d, body %q, error %v, ended %v after the last event; want the whole stream before its caller abandons it after %v; attempts %s",
+						got.status, got.body, got.err, silence, testRoutes[2].AbandonTimeout(), describe(b.allRuns()))
+				}
+			})
+		})
+	}
+}
