Test that one refused reservation does not break a stream

What callers would see: a stream of a prompt that is larger than the memory of an engine breaks after a loss, although other engines could continue it. The same refusal before the response begins is a 503 with Retry-After.

Cause: an attempt whose memory is not reserved ends as infeasible, after which no other attempt follows. The watchdog makes it worse: it cancels an attempt for a successor whose memory is not reserved yet.

--- a/internal/rtgateway/running_test.go
+++ b/internal/rtgateway/running_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -53,3 +54,39 @@
 		})
 	}
 }
+
+// Guards against a stream that breaks because one engine refuses memory for its
+// continuation, although other engines have enough.
+func TestContinuationMemory(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int // of the first reservation for the continuation
+	}{
+		{"reserved", http.StatusOK},
+		{"refused", http.StatusConflict},
+		{"no answer", noAnswer},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, 24, func(b *testbed) {
+				useEngineService(b)
+				b.firstRun(sendSlowly(2, 50*time.Millisecond, func(net.Conn, *run) {}))
+				answered := false
+				for _, target := range b.targets {
+					target.commandStatus = func(command string) int {
+						if strings.HasPrefix(command, "reserve") && len(b.allRuns()) == 1 && !answered {
+							answered = true
+							return test.status
+						}
+						return http.StatusOK
+					}
+				}
+				got := b.call(http.MethodPost, "/stream/x", headers("id-1", "Size", "330000"), "")
+				if got.err != nil || got.body != allEvents() {
+					t.Errorf("got status %d, body %q after %v, error %v; want the whole stream; attempts %s",
+						got.status, got.body, got.took, got.err, describe(b.allRuns()))
+				}
+			})
+		})
+	}
+}
