Test that a draining process continues a lost stream

What callers would see: a stream breaks during a graceful shutdown, because its engine is lost and no other one takes the rest at once.

Cause: a request that has to wait in a draining process is refused so that another process can serve it, which is right only before the response begins.

--- a/internal/rtgateway/running_test.go
+++ b/internal/rtgateway/running_test.go
@@ -1,12 +1,15 @@
 package rtgateway
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
 
 // sendSlowly returns a script that sends a number of events, each after a pause,
@@ -90,3 +93,45 @@
 		})
 	}
 }
+
+// start sends a request in the background. Its reply follows on the channel.
+func (b *testbed) start(path string, h map[string]string) <-chan reply {
+	replies := make(chan reply, 1)
+	task := rttask.Start(b.t.Context(), "call", func(context.Context) error {
+		replies <- b.call(http.MethodPost, path, h, "")
+		return nil
+	})
+	b.t.Cleanup(func() { _ = task.Stop() })
+	return replies
+}
+
+// limitColdRate allows one request a second at each target.
+func limitColdRate(b *testbed) {
+	c := newConfiguration(2)
+	c.Services[0].ColdRate = 1
+	b.publish(c)
+}
+
+// Guards against a stream that breaks in a draining process because its
+// continuation has to wait a moment. Only requests that have not begun can be
+// sent to another process instead.
+func TestContinuationWaitsWhileDraining(t *testing.T) {
+	withTestbed(t, 2, func(b *testbed) {
+		limitColdRate(b)
+		b.firstRun(sendSlowly(2, 50*time.Millisecond, func(net.Conn, *run) {}))
+		broken := b.start("/stream/x", headers("id-1"))
+		time.Sleep(50 * time.Millisecond)
+		if got := <-b.start("/safe/x", headers("id-2")); got.status != http.StatusOK {
+			b.t.Fatalf("the second request got status %d, want 200", got.status)
+		}
+		stopped := rttask.Start(b.t.Context(), "stop", func(context.Context) error { return b.stop() })
+		got := <-broken
+		if got.err != nil || got.body != allEvents() {
+			b.t.Errorf("got status %d, body %q after %v, error %v; want the whole stream within the grace period of %v; attempts %s",
+				got.status, got.body, got.took, got.err, grace, describe(b.allRuns()))
+		}
+		if err := <-stopped.Done(); err != nil {
+			b.t.Error(err)
+		}
+	})
+}
