Judge silence by the last half of the timeout

A stream whose engine went dark in the middle stayed silent until its caller left.

Cause: a target counted as busy, not silent, once it had sent anything later than half a timeout after the start of the attempt, and the stream's own events counted.

Now a target is busy if it has sent something to another request within the last half of the timeout, and it is looked at again half a timeout later. The attempt is cancelled only if another one can follow, as before.

--- a/internal/rtgateway/watchdog.go
+++ b/internal/rtgateway/watchdog.go
@@ -24,7 +24,6 @@
 	delivery *delivery
 	target   rtid.Target
 	cancel   context.CancelCauseFunc
-	started  time.Time
 	timeout  time.Duration
 
 	mu      sync.Mutex
@@ -36,12 +35,10 @@
 
 // startWatchdog starts the watchdog of one attempt. When the timeout expires, it
 // cancels the attempt as soon as another one can follow, with one exception: a
-// stream whose target has responded to this process, for this or any other
-// request, later than half a timeout after the start of the attempt. Such a
-// target counts as busy rather than silent, and the watchdog does nothing until
-// the next event restarts it.
+// stream whose target has responded to another request of this process within
+// the last half of the timeout counts as busy rather than silent.
 func (d *delivery) startWatchdog(target rtid.Target, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{delivery: d, target: target, cancel: cancel, started: time.Now(), waiting: d.waitingSince()}
+	w := &watchdog{delivery: d, target: target, cancel: cancel, waiting: d.waitingSince()}
 	if d.attempts.IsLastAttempt() {
 		return w
 	}
@@ -60,8 +57,12 @@
 func (w *watchdog) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
 	stream := w.delivery.request.route.Kind == rtcatalog.KindStream
-	if w.stopped || stream && w.delivery.gateway.respondedSince(w.target, w.started.Add(w.timeout/2)) {
+	if recent := w.timeout / 2; stream && w.delivery.gateway.respondedSince(w.target, time.Now().Add(-recent)) {
+		w.timer.Reset(recent)
 		return
 	}
 	if reason := w.delivery.reserveSuccessor(time.Since(w.waiting)); reason != "" {
