Continue a large prompt with the memory of other engines

A stream with a prompt larger than one engine's memory was broken off when its engine was lost and a single engine refused memory for the continuation or did not answer.

Cause: an attempt without memory ends the request, which suits a new one: it is refused as not run and its caller comes back. After the answer has begun the same end breaks it off.

TestContinuationMemory (refused, no answer) failed before and passes.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -289,7 +289,7 @@
 	defer guard.stop()
 	reserved, err := d.reserve(ctx, placement)
 	if err != nil {
-		return result{outcome: rtdelivery.Infeasible, detail: err.Error()}
+		return result{outcome: d.unreservedOutcome(), detail: err.Error()}
 	}
 	defer d.release(reserved)
 	if renewal := d.renew(reserved); renewal != nil {
@@ -323,6 +323,16 @@
 	return relay.forwardWhole(ctx)
 }
 
+// unreservedOutcome returns the outcome of an attempt that got no memory for its
+// prompt. A new request is refused, so that its caller can come back; an answer
+// that has begun is continued with the memory of other engines.
+func (d *delivery) unreservedOutcome() rtdelivery.AttemptOutcome {
+	if d.headWritten {
+		return rtdelivery.NotSent
+	}
+	return rtdelivery.Infeasible
+}
+
 // exchangeFailed returns the result of an exchange with a target that ended
 // with an error.
 func (d *delivery) exchangeFailed(ctx context.Context, target *rtcatalog.Instance, err error) result {
