--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -232,9 +232,15 @@
 		script:  answerOK,
 	}
 	b.targets = append(b.targets, target)
+	b.listen(target)
+}
+
+// listen serves the connections to a target until its listener is closed.
+func (b *testbed) listen(target *target) {
 	listener, err := b.network.Listen(target.address)
 	if err != nil {
-		b.t.Fatal(err)
+		b.t.Error(err)
+		return
 	}
 	task := rttask.Start(b.t.Context(), "target", func(context.Context) error {
 		for {
