Limit the response header of a target

Callers would see: nothing at first. A target that sends a status line, a header line, header lines or interim responses without end fills the memory of the gateway until the deadline of the request or until the process is killed for its memory, with all its requests.

Cause: rtexchange reads the header with http.ReadResponse from a plain bufio.Reader, which has no limit. Only the number of interim responses had one. The clients of the store and of peers use http.Transport, which has.

Evidence, with a target that stops after 8 MiB:

TestEndlessHead/status_line: read 8389000 bytes of the header, want at most 65536 TestEndlessHead/header_line: read 8389020 bytes of the header, want at most 65536 TestEndlessHead/header_lines: read 8389217 bytes of the header, want at most 65536 TestEndlessHead/continued_header_line: read 8388823 bytes of the header, want at most 65536 TestEndlessHead/large_interim_responses: read 120132 bytes of the header, want at most 65536 TestEndlessHead/header_line_after_an_interim_response: read 8389048 bytes of the header, want at most 65536

Change: a limit of 64 KiB on the header together with the interim responses before it. Beyond it the connection is closed and the attempt is lost.

Result: the seven cases read at most 64 KiB; a header of 30,000 bytes after an interim response of the same size, with a body of 100,000 bytes, still passes.

--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -27,11 +27,18 @@
 	dialTimeout     = 300 * time.Millisecond
 	readBufferSize  = 8 << 10
 	writeBufferSize = 8 << 10
+	// maxHeadSize limits a response header together with the interim responses
+	// before it, in bytes. http.ReadResponse has no limit of its own. Common
+	// HTTP servers limit headers to 8 or 16 KiB.
+	maxHeadSize = 64 << 10
 	// maxInterimResponses is the number of interim responses (1xx) after which
 	// Send fails without reading on.
 	maxInterimResponses = 4
 )
 
+// errHeadTooLarge means that a response header is larger than maxHeadSize.
+var errHeadTooLarge = fmt.Errorf("larger than %d bytes", maxHeadSize)
+
 // ErrNotSent means that no part of a request was sent.
 var ErrNotSent = errors.New("not sent")
 
@@ -102,7 +109,8 @@
 
 // readHead reads the response header, after any interim responses.
 func readHead(connection net.Conn, message *Message) (*Response, error) {
-	reader := bufio.NewReaderSize(connection, readBufferSize)
+	limited := &headReader{reader: connection, remaining: maxHeadSize}
+	reader := bufio.NewReaderSize(limited, readBufferSize)
 	request := &http.Request{Method: message.Method}
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(reader, request) //nolint:bodyclose // Response.Close closes the connection
@@ -112,6 +120,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		limited.complete = true
 		return &Response{
 			Status:     response.StatusCode,
 			Header:     response.Header,
@@ -123,6 +132,26 @@
 	return nil, errors.New("got too many interim responses (1xx) before the final one")
 }
 
+// headReader limits the bytes that are read until the header is complete.
+type headReader struct {
+	reader    io.Reader
+	remaining int  // bytes that may still be read
+	complete  bool // the header is complete, and the limit no longer applies
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(buffer []byte) (int, error) {
+	if r.complete {
+		return r.reader.Read(buffer)
+	}
+	if r.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.reader.Read(buffer[:min(len(buffer), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
 // ContentLength returns the announced length of the body, or -1 if unknown.
 func (r *Response) ContentLength() int64 { return r.response.ContentLength }
 
