Read events whose lines are longer than the read buffer

Callers would see: a stream that is resumed in the middle of an event, or one that ends inside an event and looks complete; and events that come twice after a resume, because their ID was not read.

Change: each line is read from the bytes of the event. The limit of 1 MiB on an event also holds for its lines, with an error that says so.

--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -13,6 +13,9 @@
 // ErrTruncated means that a stream ended inside an event.
 var ErrTruncated = errors.New("stream ended inside an event")
 
+// errEventTooLarge means that an event is larger than maxEventSize.
+var errEventTooLarge = errors.New("event of a stream is larger than 1 MiB")
+
 // Event is one complete event of a stream.
 type Event struct {
 	Bytes []byte // as received, including the empty line at the end
@@ -23,24 +26,26 @@
 // ended after a complete event, and ErrTruncated if it ended inside one.
 func (r *Response) NextEvent() (Event, error) {
 	var event Event
+	lineStart := 0 // in event.Bytes; a line may be longer than the buffer of the body
 	for {
-		line, err := r.Body.ReadSlice('\n')
-		event.Bytes = append(event.Bytes, line...)
+		part, err := r.Body.ReadSlice('\n')
+		event.Bytes = append(event.Bytes, part...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event.Bytes) <= maxEventSize:
+		case len(event.Bytes) > maxEventSize:
+			return Event{}, errEventTooLarge
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(event.Bytes) > 0:
 			return Event{}, ErrTruncated
 		case err != nil:
 			return Event{}, err
-		case len(event.Bytes) > maxEventSize:
-			return Event{}, errors.New("event of a stream is larger than 1 MiB")
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
+		lineStart = len(event.Bytes)
+		if len(line) == 0 {
 			return event, nil
 		}
-		if id, found := bytes.CutPrefix(text, []byte("id:")); found {
+		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			event.ID = string(bytes.TrimSpace(id))
 		}
 	}
--- /dev/null
+++ b/internal/rtexchange/events_test.go
@@ -0,0 +1,68 @@
+package rtexchange
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/iotest"
+)
+
+// streamOf returns a response whose body is a text and then an error.
+func streamOf(text string, err error) *Response {
+	return &Response{Body: bufio.NewReaderSize(io.MultiReader(strings.NewReader(text), iotest.ErrReader(err)), readBufferSize)}
+}
+
+// Guards against events that are split, joined or without their ID, and against
+// a stream that was broken off and counts as complete, or the reverse.
+func TestEvents(t *testing.T) {
+	long := func(size int) string { return strings.Repeat("x", size) }
+	type expected struct{ text, id string }
+	tests := []struct {
+		name   string
+		stream string
+		end    error
+		events []expected
+		err    error
+	}{
+		{"no event", "", io.EOF, nil, io.EOF},
+		{"two events", "id: 1\ndata: a\n\nid: 2\n\n", io.EOF, []expected{{"id: 1\ndata: a\n\n", "1"}, {"id: 2\n\n", "2"}}, io.EOF},
+		{"CRLF", "id: 1\r\ndata: a\r\n\r\n", io.EOF, []expected{{"id: 1\r\ndata: a\r\n\r\n", "1"}}, io.EOF},
+		{"without an ID", ": comment\n\n", io.EOF, []expected{{": comment\n\n", ""}}, io.EOF},
+		{"cut in a line", "id: 1\n\nid: 2\nda", io.EOF, []expected{{"id: 1\n\n", "1"}}, ErrTruncated},
+		{"cut after a line", "id: 1\n\nid: 2\ndata: b\n", io.EOF, []expected{{"id: 1\n\n", "1"}}, ErrTruncated},
+		{"cut after a line with CRLF", "id: 1\r\n\r\nid: 2\r\n", io.EOF, []expected{{"id: 1\r\n\r\n", "1"}}, ErrTruncated},
+		{"cut in the empty line", "id: 1\r\n\r", io.EOF, nil, ErrTruncated},
+		{"reset inside an event", "id: 1\n\nid: 2\n", syscall.ECONNRESET, []expected{{"id: 1\n\n", "1"}}, syscall.ECONNRESET},
+		{"reset after an event", "id: 1\n\n", syscall.ECONNRESET, []expected{{"id: 1\n\n", "1"}}, syscall.ECONNRESET},
+		{"body cut after an event", "id: 1\n\n", io.ErrUnexpectedEOF, []expected{{"id: 1\n\n", "1"}}, io.ErrUnexpectedEOF},
+		{"line as long as the buffer", "id: 1\n" + long(readBufferSize) + "\ndata: b\n\n", io.EOF, []expected{{"id: 1\n" + long(readBufferSize) + "\ndata: b\n\n", "1"}}, io.EOF},
+		{"CRLF after a line as long as the buffer", long(2*readBufferSize) + "\r\nid: 1\n\n", io.EOF, []expected{{long(2*readBufferSize) + "\r\nid: 1\n\n", "1"}}, io.EOF},
+		{"CRLF split by the buffer", long(readBufferSize-1) + "\r\nid: 1\n\n", io.EOF, []expected{{long(readBufferSize-1) + "\r\nid: 1\n\n", "1"}}, io.EOF},
+		{"ID inside a long line", "id: 1\n" + long(readBufferSize) + "id: 9\n\n", io.EOF, []expected{{"id: 1\n" + long(readBufferSize) + "id: 9\n\n", "1"}}, io.EOF},
+		{"long ID", "id:" + long(readBufferSize) + "\n\n", io.EOF, []expected{{"id:" + long(readBufferSize) + "\n\n", long(readBufferSize)}}, io.EOF},
+		{"large event", long(maxEventSize-2) + "\n\n", io.EOF, []expected{{long(maxEventSize-2) + "\n\n", ""}}, io.EOF},
+		{"too large event", "id: 1\n\n" + long(maxEventSize-1) + "\n\n", io.EOF, []expected{{"id: 1\n\n", "1"}}, errEventTooLarge},
+		{"too large line", long(2 * maxEventSize), io.EOF, nil, errEventTooLarge},
+		{"lines without end", strings.Repeat("data: x\n", maxEventSize), io.EOF, nil, errEventTooLarge},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			response := streamOf(test.stream, test.end)
+			var got []expected
+			var err error
+			for err == nil {
+				var event Event
+				if event, err = response.NextEvent(); err == nil {
+					got = append(got, expected{string(event.Bytes), event.ID})
+				}
+			}
+			if !slices.Equal(got, test.events) || !errors.Is(err, test.err) {
+				t.Errorf("got %d events %.300q, error %v; want %d events, error %v", len(got), got, err, len(test.events), test.err)
+			}
+		})
+	}
+}
