Reject a response with a status below 100

Callers would see: a response that the target never sent, made of the body of an invalid one.

Cause: net/http accepts the statuses 000 to 099. readHead took each status below 200 for an interim response, which has no body, and read the body as the next response.

Evidence, rows of TestResponses that failed before:

status below 100: got body "ok", error <nil>, want body "", complete false status below 100 without length: got body "ok", error <nil>, want body "", complete false

The other rows of TestResponses and those of TestEndlessBody passed before: bodies that are cut are errors in all encodings, and no body, chunk size, extension or trailer without end is read beyond the limit of ReadAll.

Change: such a response is an error, and the attempt is lost.

Result: all rows pass.

--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -117,6 +117,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, fmt.Errorf("read response header: got status %d, want at least 100", response.StatusCode)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/rtexchange/exchange_test.go
+++ b/internal/rtexchange/exchange_test.go
@@ -120,3 +120,85 @@
 		t.Errorf("got a body of %d bytes, error %v, want %d bytes", len(got), err, len(body))
 	}
 }
+
+// Guards against an invalid response whose body is read as the response, and
+// against one that was cut off and counts as complete.
+func TestResponses(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	tests := []struct {
+		name, response string
+		body           string
+		ok             bool
+	}{
+		{"length", head + "Content-Length: 2\r\n\r\nok", "ok", true},
+		{"length and more", head + "Content-Length: 2\r\n\r\nokHTTP/1.1 500 x\r\n\r\n", "ok", true},
+		{"no length", head + "\r\nok", "ok", true},
+		{"no length, HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nok", "ok", true},
+		{"no length, no body", head + "\r\n", "", true},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1;x=y\r\nk\r\n0\r\nA: b\r\n\r\n", "ok", true},
+		{"no body", "HTTP/1.1 204 No Content\r\n\r\nok", "", true},
+		{"interim response", "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", "ok", true},
+		{"less than the length", head + "Content-Length: 3\r\n\r\nok", "", false},
+		{"cut in a chunk", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nok", "", false},
+		{"cut after a chunk", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "", false},
+		{"cut in the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "", false},
+		{"cut in the trailer", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n", "", false},
+		{"cut in the header", head + "Content-Length: 0\r\n", "", false},
+		{"cut in the end of the header", head + "Content-Length: 0\r\n\r", "", false},
+		{"interim response only", "HTTP/1.1 100 Continue\r\n\r\n", "", false},
+		{"status below 100", "HTTP/1.1 042 x\r\nContent-Length: 40\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", "", false},
+		{"status below 100 without length", "HTTP/1.1 000 x\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", "", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, response, err := send(t, func(w io.Writer) { _, _ = io.WriteString(w, test.response) })
+			var body []byte
+			if err == nil {
+				body, err = response.ReadAll(1 << 20)
+				response.Close()
+			}
+			if string(body) != test.body || (err == nil) != test.ok {
+				t.Errorf("got body %q, error %v, want body %q, complete %v", body, err, test.body, test.ok)
+			}
+		})
+	}
+}
+
+// Guards against a body, a chunk size or a trailer without end that fills the
+// memory of this process.
+func TestEndlessBody(t *testing.T) {
+	const (
+		limit = 100_000
+		// bound allows for the header, the buffers and the overhead of chunks.
+		bound = 2*limit + maxHeadSize
+	)
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := []struct {
+		name, begin, repeated string
+	}{
+		{"no length", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1000)},
+		{"long length", "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n", strings.Repeat("x", 1000)},
+		{"chunks", chunked, "10\r\n" + strings.Repeat("x", 16) + "\r\n"},
+		{"long chunk", chunked + "fffffffffffffff\r\n", strings.Repeat("x", 1000)},
+		{"chunk size", chunked, strings.Repeat("0", 1000)},
+		{"chunk extension", chunked + "1;", strings.Repeat("x", 1000)},
+		{"chunk extensions", chunked, "1;" + strings.Repeat("x", 1000) + "\r\ny\r\n"},
+		{"trailer line", chunked + "0\r\nA: ", strings.Repeat("x", 1000)},
+		{"trailer lines", chunked + "0\r\n", strings.Repeat("A: b\r\n", 100)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			target, response, err := send(t, without(test.begin, test.repeated))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Close()
+			if _, err := response.ReadAll(limit); err == nil {
+				t.Error("got a complete response, want an error")
+			}
+			if got := target.taken.Load(); got > bound {
+				t.Errorf("read %d bytes, want at most %d", got, bound)
+			}
+		})
+	}
+}
