Pass an event on while a part of the next one is received

Callers saw: the last whole event of a stream late or, if the target then broke off, never. On a route without resume they got a closed connection instead of status 200 and that event.

Cause: forwardEvents flushes unless more bytes of the body are buffered. With a part of the next event in the buffer it did not flush and waited for the rest. When the rest does not come and no other target may continue, the response is aborted, and what is not flushed is dropped.

Change: the flush is left out only if a whole event is buffered, which is written next without waiting.

TestOutcomes also gets targets whose answer ends with their connection, with a reset, or inside an event, and targets whose header, interim responses, chunk size, trailer, event or body does not end, fast or slow. It now checks that the caller has an answer within its time, that a repeatable request gets the answer of the second target, and that no connection to a target stays open. The target that adds a second answer now resumes at the requested event: it used to send all events, which no pair reached.

--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -51,5 +51,17 @@
 	}
 }
 
-// Buffered reports whether the body has bytes that were received and not read.
-func (r *Response) Buffered() bool { return r.Body.Buffered() > 0 }
+// EventBuffered reports whether a complete event was received and not read, so
+// that NextEvent returns without waiting.
+func (r *Response) EventBuffered() bool {
+	received, err := r.Body.Peek(r.Body.Buffered())
+	if err != nil {
+		return false
+	}
+	for _, end := range []string{"\n", "\r\n"} {
+		if bytes.HasPrefix(received, []byte(end)) || bytes.Contains(received, []byte("\n"+end)) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/rtexchange/events_test.go
+++ b/internal/rtexchange/events_test.go
@@ -66,3 +66,33 @@
 		})
 	}
 }
+
+// Guards against events that are held back because a part of the next one has
+// been received.
+func TestEventBuffered(t *testing.T) {
+	tests := []struct {
+		received string // after the first event
+		want     bool
+	}{
+		{"", false},
+		{"i", false},
+		{"id: 2\ndata: b", false},
+		{"id: 2\ndata: b\n", false},
+		{"id: 2\r\ndata: b\r\n", false},
+		{"id: 2\ndata: b\n\n", true},
+		{"id: 2\r\ndata: b\r\n\r\nid: 3", true},
+		{"\n", true},
+		{"\r\nid: 2\n", true},
+	}
+	for _, test := range tests {
+		t.Run(test.received, func(t *testing.T) {
+			response := streamOf("id: 1\n\n"+test.received, io.EOF)
+			if _, err := response.NextEvent(); err != nil {
+				t.Fatal(err)
+			}
+			if got := response.EventBuffered(); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/rtgateway/outcome_test.go
+++ b/internal/rtgateway/outcome_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // behaviour is what a target may do with a request, and whether the request
@@ -16,6 +18,31 @@
 	ran    bool
 }
 
+// pause is the time between two parts of a slow response.
+const pause = 50 * time.Millisecond
+
+// long is a text longer than the read buffers.
+var long = strings.Repeat("x", 10_000)
+
+func nothing(*run) string { return "" }
+
+// wholeWithoutLength returns a whole answer that ends with its connection.
+func wholeWithoutLength(r *run) string {
+	if !r.isStream() {
+		return r.responseHead(200, "") + "ok"
+	}
+	return r.responseHead(200, "") + eventsAfter(r.lastEvent())
+}
+
+// cut returns the beginning of the body of an answer.
+func cut(r *run) string {
+	if !r.isStream() {
+		return "o"
+	}
+	next := r.lastEvent() + 1
+	return event(next) + event(next + 1)[:9]
+}
+
 var behaviours = []behaviour{
 	{"answers", answerOK, true},
 	{"not run", refuseNotRun, false},
@@ -36,11 +63,41 @@
 	{"bad length", writeText(func(r *run) string { return r.responseHead(200, "Content-Length: -2\r\n") + "no" }), true},
 	{"does not answer", neverAnswer, true},
 	{"adds a second answer", writeText(func(r *run) string {
-		if strings.HasPrefix(r.request.URL.Path, "/stream/") || strings.HasPrefix(r.request.URL.Path, "/once/") {
-			return r.responseHead(200, chunked) + chunk(allEvents()) + lastChunk + r.responseHead(200, "Content-Length: 5\r\n") + "extra"
+		if r.isStream() {
+			return r.responseHead(200, chunked) + chunk(eventsAfter(r.lastEvent())) + lastChunk + r.responseHead(200, "Content-Length: 5\r\n") + "extra"
 		}
 		return r.responseHead(200, "Content-Length: 2\r\n") + "ok" + r.responseHead(200, "Content-Length: 5\r\n") + "extra"
 	}), true},
+	{"ends its answer with its connection", writeText(wholeWithoutLength), true},
+	{"ends its answer with a reset", func(c net.Conn, r *run) {
+		_, _ = io.WriteString(c, wholeWithoutLength(r))
+		r.target.reset()
+	}, true},
+	{"resets inside its body", func(c net.Conn, r *run) {
+		_, _ = io.WriteString(c, r.responseHead(200, "")+cut(r))
+		r.target.reset()
+	}, true},
+	{"ends its connection inside an event", writeText(func(r *run) string {
+		if r.isStream() {
+			return r.responseHead(200, "") + cut(r)
+		}
+		return r.responseHead(200, "Content-Length: 2\r\n") + cut(r)
+	}), true},
+	{"header line without end", repeatText(func(r *run) string { return "HTTP/1.1 200 x\r\nA: " }, long, 0), true},
+	{"header lines without end", repeatText(func(r *run) string { return "HTTP/1.1 200 x\r\n" }, "A: "+long+"\r\n", 0), true},
+	{"slow header line without end", repeatText(func(r *run) string { return "HTTP/1.1 200 x\r\nA: " }, "x", pause), true},
+	{"interim responses without end", repeatText(nothing, "HTTP/1.1 103 x\r\nA: "+long+"\r\n\r\n", 0), true},
+	{"slow interim responses without end", repeatText(nothing, "HTTP/1.1 103 x\r\n\r\n", pause), true},
+	{"event without end", func(c net.Conn, r *run) {
+		if r.isStream() {
+			repeatText(func(r *run) string { return r.responseHead(200, "") }, strings.Repeat(long, 16), 0)(c, r)
+			return
+		}
+		neverAnswer(c, r)
+	}, true},
+	{"slow body without end", repeatText(func(r *run) string { return r.responseHead(200, "") }, "x", pause), true},
+	{"chunk size without end", repeatText(func(r *run) string { return r.responseHead(200, chunked) }, strings.Repeat("0", 1000), 0), true},
+	{"slow trailer without end", repeatText(func(r *run) string { return r.responseHead(200, chunked) + "0\r\nA: " }, "x", pause), true},
 }
 
 // Guards against a request that runs twice, or is refused as not run although
@@ -92,6 +149,20 @@
 	if len(runs) > 2 {
 		b.t.Errorf("sent %d times, want at most 2: %s", len(runs), describe(runs))
 	}
+	if got.took > 11*time.Second {
+		b.t.Errorf("answered after %v, want it within 11s", got.took)
+	}
+	if repeatable && inOrder[1].name == "answers" && (got.status != http.StatusOK || got.err != nil) {
+		b.t.Errorf("got status %d, error %v, want the answer of the second target", got.status, got.err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	b.mu.Lock()
+	for _, r := range runs {
+		if r.ended.IsZero() {
+			b.t.Error("connection to a target is still open 0.5 s after the answer")
+		}
+	}
+	b.mu.Unlock()
 	switch {
 	case got.err != nil && got.status == 0 && !repeatable:
 		b.t.Errorf("caller got no response: %v", got.err)
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -87,7 +87,7 @@
 		if event.ID != "" {
 			d.lastEventID = event.ID
 		}
-		if !r.response.Buffered() {
+		if !r.response.EventBuffered() {
 			if err := control.Flush(); err != nil {
 				return result{outcome: rtdelivery.CallerGone, detail: err.Error()}
 			}
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -93,6 +93,7 @@
 
 // target is a fake target that follows a script.
 type target struct {
+	network *rtfake.Network
 	id      rtid.Target
 	address rtid.Address
 
@@ -227,6 +228,7 @@
 // addTarget starts a target that answers every request.
 func (b *testbed) addTarget(i int) {
 	target := &target{
+		network: b.network,
 		id:      rtid.Target(fmt.Sprintf("t%d", i)),
 		address: rtid.Address(fmt.Sprintf("10.0.1.%d:80", i+1)),
 		script:  answerOK,
@@ -321,7 +323,7 @@
 // answerOK answers a stream with all events after the requested one, and other
 // requests with a body.
 func answerOK(c net.Conn, r *run) {
-	if !strings.HasPrefix(r.request.URL.Path, "/stream/") && !strings.HasPrefix(r.request.URL.Path, "/once/") {
+	if !r.isStream() {
 		_, _ = io.WriteString(c, r.responseHead(200, "Content-Length: 2\r\n")+"ok")
 		return
 	}
@@ -335,6 +337,11 @@
 	_, _ = io.WriteString(c, lastChunk)
 }
 
+// isStream reports whether the answer is a stream.
+func (r *run) isStream() bool {
+	return strings.HasPrefix(r.request.URL.Path, "/stream/") || strings.HasPrefix(r.request.URL.Path, "/once/")
+}
+
 // lastEvent returns the number of the event after which the stream resumes.
 func (r *run) lastEvent() int {
 	after, _ := strconv.Atoi(r.request.Header.Get("After"))
@@ -356,6 +363,25 @@
 	return func(c net.Conn, r *run) { _, _ = io.WriteString(c, write(r)) }
 }
 
+// reset closes the connections of the target as a crash does: with a reset.
+func (t *target) reset() { t.network.Kill(string(t.address)) }
+
+// repeatText returns a script that writes a text and then repeats another one,
+// after an interval, until its connection is closed.
+func repeatText(begin func(r *run) string, repeated string, interval time.Duration) script {
+	return func(c net.Conn, r *run) {
+		_, err := io.WriteString(c, begin(r))
+		for written := 0; err == nil && written < maxRepeated; written += len(repeated) {
+			time.Sleep(interval)
+			_, err = io.WriteString(c, repeated)
+		}
+		neverAnswer(c, r)
+	}
+}
+
+// maxRepeated is how many bytes stand for a response without end.
+const maxRepeated = 40 << 20
+
 // reply is what a caller received.
 type reply struct {
 	status int
@@ -404,9 +430,12 @@
 }
 
 // allEvents returns the body of a whole stream.
-func allEvents() string {
+func allEvents() string { return eventsAfter(0) }
+
+// eventsAfter returns the body of a stream that resumes after an event.
+func eventsAfter(last int) string {
 	var b strings.Builder
-	for i := 1; i <= events; i++ {
+	for i := last + 1; i <= events; i++ {
 		b.WriteString(event(i))
 	}
 	return b.String()
