Limit the memory of all responses that are read at the same time

Callers would see: all requests of a gateway fail when its process is killed for its memory, although a single target misbehaves.

Cause: a response that is not a stream may have 16 MiB, and nothing limited how many are read at once. A target whose bodies do not end gets up to 16 requests at a time; the smallest gateway VM has 216 MB.

Change: bodies of more than 64 KiB take their memory from a budget of 32 MiB for the whole process. A body that would exceed it is lost, as one of more than 16 MiB is. Shorter bodies are not counted, so that they cannot fail because of long ones. The budget is returned when the response is closed, after it has been written to the caller.

Not covered: events of streams, up to 1 MiB each, and a failed response that is kept until another target has answered.

--- /dev/null
+++ b/internal/rtexchange/budget.go
@@ -0,0 +1,87 @@
+package rtexchange
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// minCapacity is the first capacity of the memory for a body, in bytes.
+	minCapacity = 4 << 10
+	// uncountedCapacity is the part of each body that a budget does not count, in
+	// bytes, so that long bodies cannot fail short ones.
+	uncountedCapacity = 64 << 10
+)
+
+// errNoBudget means that the bodies of all responses together use too much
+// memory.
+var errNoBudget = errors.New("responses use more memory than allowed")
+
+// Budget limits the memory of all bodies that are read with it. Each body counts
+// until its response is closed.
+type Budget struct {
+	limit int64 // in bytes
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of a number of bytes.
+func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+
+// take reports whether the budget has had this many bytes left.
+func (b *Budget) take(size int64) bool {
+	if b.used.Add(size) > b.limit {
+		b.used.Add(-size)
+		return false
+	}
+	return true
+}
+
+// ReadAll reads the body to its end. It fails if the body is longer than limit
+// bytes, or if the budget, which may be nil, does not allow for it.
+func (r *Response) ReadAll(limit int64, budget *Budget) ([]byte, error) {
+	r.budget = budget
+	var body []byte
+	for {
+		if int64(len(body)) > limit {
+			return nil, fmt.Errorf("response body is longer than %d bytes", limit)
+		}
+		if len(body) == cap(body) {
+			capacity := min(max(2*int64(cap(body)), minCapacity), limit+1)
+			if err := r.reserve(capacity); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, capacity), body...)
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF) && int64(len(body)) <= limit:
+			return body, nil
+		case err != nil && !errors.Is(err, io.EOF):
+			return nil, fmt.Errorf("read response body: %w", err)
+		}
+	}
+}
+
+// reserve takes the memory of a body from the budget.
+func (r *Response) reserve(capacity int64) error {
+	more := capacity - uncountedCapacity - r.reserved
+	if r.budget == nil || more <= 0 {
+		return nil
+	}
+	if !r.budget.take(more) {
+		return errNoBudget
+	}
+	r.reserved += more
+	return nil
+}
+
+// release returns the memory of the body to the budget.
+func (r *Response) release() {
+	if r.budget != nil {
+		r.budget.used.Add(-r.reserved)
+		r.reserved = 0
+	}
+}
--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -62,11 +62,14 @@
 	connection net.Conn
 	stopClose  func() bool // stops the closing of connection at the end of the context
 	writeTask  *rttask.Task
+	budget     *Budget // of the body; nil for none
+	reserved   int64   // bytes taken from budget
 }
 
 // Close closes the connection. If the response is not complete, the target sees
 // the disconnect and can stop its work.
 func (r *Response) Close() {
+	r.release()
 	r.stopClose()
 	// The connection is not reused, so an error of closing it does not matter.
 	_ = r.connection.Close()
@@ -158,19 +161,6 @@
 // ContentLength returns the announced length of the body, or -1 if unknown.
 func (r *Response) ContentLength() int64 { return r.response.ContentLength }
 
-// ReadAll reads the body to its end. It fails if the body is longer than limit
-// bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read response body: %w", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("response body is longer than %d bytes", limit)
-	}
-	return body, nil
-}
-
 // write writes the request line, the headers and the body.
 func (m *Message) write(w *bufio.Writer) error {
 	for _, part := range []string{m.Method, " ", m.Path, " HTTP/1.1\r\nHost: ", m.Host, "\r\n"} {
--- a/internal/rtexchange/exchange_test.go
+++ b/internal/rtexchange/exchange_test.go
@@ -115,7 +115,7 @@
 		t.Fatal(err)
 	}
 	defer response.Close()
-	got, err := response.ReadAll(1 << 20)
+	got, err := response.ReadAll(1<<20, nil)
 	if err != nil || string(got) != body || response.Header.Get("A") != value {
 		t.Errorf("got a body of %d bytes, error %v, want %d bytes", len(got), err, len(body))
 	}
@@ -154,7 +154,7 @@
 			_, response, err := send(t, func(w io.Writer) { _, _ = io.WriteString(w, test.response) })
 			var body []byte
 			if err == nil {
-				body, err = response.ReadAll(1 << 20)
+				body, err = response.ReadAll(1<<20, nil)
 				response.Close()
 			}
 			if string(body) != test.body || (err == nil) != test.ok {
@@ -193,7 +193,7 @@
 				t.Fatal(err)
 			}
 			defer response.Close()
-			if _, err := response.ReadAll(limit); err == nil {
+			if _, err := response.ReadAll(limit, nil); err == nil {
 				t.Error("got a complete response, want an error")
 			}
 			if got := target.taken.Load(); got > bound {
--- /dev/null
+++ b/internal/rtgateway/bodies_test.go
@@ -0,0 +1,87 @@
+package rtgateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
+)
+
+// openBytes counts the bytes that targets have written to connections that are
+// still open, and the most at any time.
+type openBytes struct {
+	mu         sync.Mutex
+	open, peak int
+}
+
+func (o *openBytes) add(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.open += n
+	o.peak = max(o.peak, o.open)
+}
+
+// countedConn counts the bytes that a target has written.
+type countedConn struct {
+	net.Conn
+	counter *openBytes
+	written int
+}
+
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.written += n
+	c.counter.add(n)
+	return n, err
+}
+
+// Guards against targets whose answers do not end and that together fill the
+// memory of the gateway, and against answers of other targets that are lost
+// meanwhile.
+func TestEndlessBodies(t *testing.T) {
+	const (
+		endless = 16
+		// bound allows for the buffers of the connections.
+		bound = maxResponseMemory + endless*(512<<10)
+	)
+	withTestbed(t, 2, func(b *testbed) {
+		var counter openBytes
+		for _, target := range b.targets {
+			target.set(func(c net.Conn, r *run) {
+				if r.request.URL.Path == "/order/short" {
+					answerOK(c, r)
+					return
+				}
+				counted := &countedConn{Conn: c, counter: &counter}
+				repeatText(func(r *run) string { return r.responseHead(200, "") }, strings.Repeat(long, 16), 0)(counted, r)
+				counter.add(-counted.written)
+			})
+		}
+		call := func(path string, want int) *rttask.Task {
+			return rttask.Start(b.t.Context(), path, func(context.Context) error {
+				if got := b.call(http.MethodPost, path, headers("id"), "body"); got.status != want {
+					b.t.Errorf("%s: got status %d, error %v, want status %d", path, got.status, got.err, want)
+				}
+				return nil
+			})
+		}
+		var calls []*rttask.Task
+		for range endless {
+			calls = append(calls, call("/order/endless", http.StatusBadGateway), call("/order/short", http.StatusOK))
+		}
+		for _, task := range calls {
+			if err := <-task.Done(); err != nil {
+				b.t.Error(err)
+			}
+		}
+		counter.mu.Lock()
+		defer counter.mu.Unlock()
+		if counter.peak > bound {
+			b.t.Errorf("held %d MiB of %d answers without end, want at most %d MiB", counter.peak>>20, endless, bound>>20)
+		}
+	})
+}
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
@@ -83,6 +84,7 @@
 	started       time.Time
 
 	background background
+	bodies     *rtexchange.Budget // memory of long responses
 
 	mu           sync.Mutex
 	bounds       Bounds
@@ -106,6 +108,7 @@
 		views:        dependencies.Views,
 		peers:        dependencies.Peers,
 		onPlacement:  dependencies.OnPlacement,
+		bodies:       rtexchange.NewBudget(maxResponseMemory),
 		started:      time.Now(),
 		bounds:       settings.Bounds,
 		schedulers:   make(map[rtid.Service]*rtplacement.Scheduler),
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -19,6 +19,9 @@
 const (
 	// maxResponse limits a response that is not a stream, in bytes.
 	maxResponse = 16 << 20
+	// maxResponseMemory limits the long responses that are held at the same time,
+	// in bytes: about a seventh of the memory of the smallest gateway VM.
+	maxResponseMemory = 32 << 20
 	// writeSlack is how long after the deadline of a request its caller may
 	// still read the response.
 	writeSlack = time.Second
@@ -43,7 +46,7 @@
 // last byte has been received, so that a truncated answer never looks
 // complete.
 func (r *relay) forwardWhole(ctx context.Context) result {
-	body, err := r.response.ReadAll(maxResponse)
+	body, err := r.response.ReadAll(maxResponse, r.delivery.gateway.bodies)
 	if err != nil {
 		return r.delivery.exchangeFailed(ctx, r.target, err)
 	}
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -151,7 +151,7 @@
 		return err
 	}
 	defer response.Close()
-	if _, err := response.ReadAll(maxCommandReply); err != nil {
+	if _, err := response.ReadAll(maxCommandReply, nil); err != nil {
 		r.unanswered = true
 		return err
 	}
