Do not take empty lines of a stream for events

Callers saw: empty lines until their deadline, instead of the stream of another target or a 502 or 504.

Cause: NextEvent returned each empty line as an event. It began the response, restarted the watchdog of the attempt and marked the target as responding, so that a target that sends empty lines without end was never given up.

Change: empty lines belong to the next event and count against its size. At the end of a stream they are passed on, because the body must not change.

--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -18,15 +18,17 @@
 
 // Event is one complete event of a stream.
 type Event struct {
-	Bytes []byte // as received, including the empty line at the end
+	Bytes []byte // as received, including empty lines before it and the one at its end
 	ID    string // empty if the event has none
 }
 
 // NextEvent returns the next complete event. It returns io.EOF if the stream
-// ended after a complete event, and ErrTruncated if it ended inside one.
+// ended after a complete event, and ErrTruncated if it ended inside one. Empty
+// lines alone are no event, except at the end of the stream.
 func (r *Response) NextEvent() (Event, error) {
 	var event Event
-	lineStart := 0 // in event.Bytes; a line may be longer than the buffer of the body
+	lineStart := 0   // in event.Bytes; a line may be longer than the buffer of the body
+	hasLine := false // a line that is not empty has been read
 	for {
 		part, err := r.Body.ReadSlice('\n')
 		event.Bytes = append(event.Bytes, part...)
@@ -35,16 +37,19 @@
 			return Event{}, errEventTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(event.Bytes) > 0:
+		case errors.Is(err, io.EOF) && (hasLine || len(event.Bytes) > lineStart):
 			return Event{}, ErrTruncated
+		case errors.Is(err, io.EOF) && len(event.Bytes) > 0:
+			return event, nil
 		case err != nil:
 			return Event{}, err
 		}
 		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
 		lineStart = len(event.Bytes)
-		if len(line) == 0 {
+		if len(line) == 0 && hasLine {
 			return event, nil
 		}
+		hasLine = hasLine || len(line) > 0
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			event.ID = string(bytes.TrimSpace(id))
 		}
@@ -58,10 +63,6 @@
 	if err != nil {
 		return false
 	}
-	for _, end := range []string{"\n", "\r\n"} {
-		if bytes.HasPrefix(received, []byte(end)) || bytes.Contains(received, []byte("\n"+end)) {
-			return true
-		}
-	}
-	return false
+	received = bytes.TrimLeft(received, "\r\n")
+	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
 }
--- a/internal/rtgateway/stream_test.go
+++ b/internal/rtgateway/stream_test.go
@@ -166,3 +166,42 @@
 		}
 	})
 }
+
+// Guards against a target that is taken for alive, or whose stream counts as
+// begun, because of empty lines.
+func TestEmptyLines(t *testing.T) {
+	tests := []struct {
+		name   string
+		script script
+	}{
+		{"without end", repeatText(func(r *run) string { return r.responseHead(200, "") }, "\n", 50*time.Millisecond)},
+		{"then closed", writeText(func(r *run) string { return r.responseHead(200, chunked) + chunk("\r\n\n") })},
+	}
+	for _, test := range tests {
+		for _, path := range []string{"/stream/x", "/once/x"} {
+			t.Run(test.name+path, func(t *testing.T) {
+				withTestbed(t, 2, func(b *testbed) {
+					for _, target := range b.targets {
+						target.set(func(c net.Conn, r *run) {
+							if len(b.allRuns()) == 1 {
+								test.script(c, r)
+								return
+							}
+							answerOK(c, r)
+						})
+					}
+					got := b.call(http.MethodPost, path, headers("id-1"), "")
+					want, wantBody := http.StatusBadGateway, ""
+					if path == "/stream/x" {
+						want, wantBody = http.StatusOK, allEvents()
+					} else if test.name == "without end" {
+						want = http.StatusGatewayTimeout
+					}
+					if got.err != nil || got.status != want || got.status == http.StatusOK && got.body != wantBody {
+						t.Errorf("got status %d, body %.80q, error %v; want status %d, body %q", got.status, got.body, got.err, want, wantBody)
+					}
+				})
+			})
+		}
+	}
+}
