Reset the connection of an HTTP/1.0 caller whose stream broke off

Callers with HTTP/1.0 saw: a stream that was broken off and looked complete.

Cause: without chunks a stream ends with its connection, and an aborted response was closed in the same way as a complete one. For HTTP/1.1 the missing last chunk shows the difference.

Change: until the response is complete, each close of such a connection is a reset, also that of a process which ends. The fake network has SetLinger, as TCP connections do.

--- a/internal/rtfake/connection.go
+++ b/internal/rtfake/connection.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -17,6 +18,7 @@
 	in, out *pipe
 	local   netip.AddrPort
 	remote  netip.AddrPort
+	resets  atomic.Bool // Close is a reset
 }
 
 // Read implements net.Conn.
@@ -59,10 +61,20 @@
 
 // Close implements net.Conn. The peer still reads what was written before.
 func (c *connection) Close() error {
+	if c.resets.Load() {
+		c.reset()
+		return nil
+	}
 	c.closeWith(io.EOF)
 	return nil
 }
 
+// SetLinger makes Close a reset if the time is 0, as that of net.TCPConn.
+func (c *connection) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
+	return nil
+}
+
 // closeWith closes this endpoint; the peer reads reason after the last byte.
 func (c *connection) closeWith(reason error) {
 	c.out.closeWriter(reason)
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -149,6 +149,12 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	done := resetUntilDone(r)
+	g.serve(w, r)
+	done() // not after a panic, which breaks the response off
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{w: w, r: r, arrived: time.Now(), view: g.views.View(), info: g.dialect.ParseRequest(r)}
 	for _, stage := range stages {
 		if refused := stage(g, q); refused != nil {
--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -55,6 +55,9 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ConnState:         markIdle,
+		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, connection)
+		},
 	}
 	readinessServer := &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	serveCtx := context.WithoutCancel(ctx)
@@ -181,6 +184,30 @@
 	return nil
 }
 
+// setLinger sets how a close treats data that has not been sent: 0 makes it a
+// reset, and -1 is the default.
+func (c *idleConn) setLinger(seconds int) {
+	if connection, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// It fails only if the connection has failed.
+		_ = connection.SetLinger(seconds)
+	}
+}
+
+// connectionKey is the context key of the connection of a request.
+type connectionKey struct{}
+
+// resetUntilDone makes a close of the connection a reset until done is called.
+// It does so for HTTP/1.0 only, where a response without a length ends with its
+// connection and a broken one would look complete.
+func resetUntilDone(r *http.Request) (done func()) {
+	c, ok := r.Context().Value(connectionKey{}).(*idleConn)
+	if !ok || r.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	c.setLinger(0)
+	return func() { c.setLinger(-1) }
+}
+
 // markIdle records whether a connection is idle.
 func markIdle(connection net.Conn, state http.ConnState) {
 	c, ok := connection.(*idleConn)
--- a/internal/rtgateway/stream_test.go
+++ b/internal/rtgateway/stream_test.go
@@ -205,3 +205,37 @@
 		}
 	}
 }
+
+// Guards against a broken stream that looks complete to a caller with HTTP/1.0,
+// where a response without a length ends with its connection.
+func TestStreamBreaksInOldVersion(t *testing.T) {
+	tests := []struct {
+		name     string
+		script   script
+		complete bool
+	}{
+		{"whole", answerOK, true},
+		{"broken off", breakAfter(2, "", closeConnection), false},
+		{"broken off inside an event", breakAfter(2, "id: 3", closeConnection), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, 1, func(b *testbed) {
+				b.targets[0].set(test.script)
+				c, err := b.network.Host("10.0.9.9").Dial(b.t.Context(), callers)
+				if err != nil {
+					b.t.Fatal(err)
+				}
+				defer func() { _ = c.Close() }()
+				if _, err := io.WriteString(c, "POST /once/x HTTP/1.0\r\nHost: service.example\r\nId: id-1\r\nKey: key\r\nRemaining: 10s\r\n\r\n"); err != nil {
+					b.t.Fatal(err)
+				}
+				got, err := io.ReadAll(c)
+				head, body, _ := strings.Cut(string(got), "\r\n\r\n")
+				if !strings.HasPrefix(head, "HTTP/1.0 200") || !strings.HasPrefix(allEvents(), body) || (err == nil) != test.complete {
+					b.t.Errorf("got %q, error %v, want a part of the stream, complete %v", got, err, test.complete)
+				}
+			})
+		})
+	}
+}
