Test replies to memory commands without end

A reply whose header or body does not end refuses the request as not run, within its time, and no target gets it. No fault was found; the test has not been seen to fail.

--- a/internal/rtgateway/reservation_test.go
+++ b/internal/rtgateway/reservation_test.go
@@ -157,3 +157,25 @@
 		}
 	}
 }
+
+// Guards against a reply to a memory command without end that delays the request
+// or counts as memory reserved.
+func TestEndlessCommandReplies(t *testing.T) {
+	for _, status := range []int{endlessHead, endlessBody} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			withTestbed(t, 24, func(b *testbed) {
+				useEngineService(b)
+				for _, target := range b.targets {
+					target.commandStatus = func(string) int { return status }
+				}
+				got := b.call(http.MethodPost, "/stream/x", headers("id-1", "Size", "330000", "Remaining", "5s"), "")
+				if got.status != http.StatusServiceUnavailable || got.took > 5*time.Second {
+					b.t.Errorf("got status %d after %v, want 503 within 5s", got.status, got.took)
+				}
+				if runs := b.allRuns(); len(runs) > 0 {
+					b.t.Errorf("sent without reserved memory: %s", describe(runs))
+				}
+			})
+		})
+	}
+}
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -88,8 +88,14 @@
 // script is what a target does with a request. It writes the response itself.
 type script func(c net.Conn, r *run)
 
-// noAnswer is the status of a command whose reply is lost.
-const noAnswer = 0
+const (
+	// noAnswer is the status of a command whose reply is lost.
+	noAnswer = 0
+	// endlessHead and endlessBody are the statuses of a command whose reply does
+	// not end.
+	endlessHead = -1
+	endlessBody = -2
+)
 
 // target is a fake target that follows a script.
 type target struct {
@@ -274,7 +280,14 @@
 			status = target.commandStatus(command)
 		}
 		target.mu.Unlock()
-		if status == noAnswer {
+		switch status {
+		case noAnswer:
+			return
+		case endlessHead:
+			repeatText(func(*run) string { return "HTTP/1.1 200 x\r\nA: " }, long, 0)(c, nil)
+			return
+		case endlessBody:
+			repeatText(func(*run) string { return "HTTP/1.1 200 x\r\n\r\n" }, long, 0)(c, nil)
 			return
 		}
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n", status)
