Count the events of streams against the memory of responses

Callers would see: all requests of a gateway fail when its process is killed for its memory.

Cause: an event may have 1 MiB, and nothing limited how many streams read one that does not end. A gateway VM may have 4,000 connections and 216 MB.

Evidence, TestEndlessBodies for 256 streams at 24 targets before:

/once/: held 273 MiB of 256 answers without end, want at most 112 MiB

Change: events of more than 64 KiB take their memory from the budget of the bodies, up to the largest event of each stream until it is closed.

TestEndlessBodies now also has streams, and targets that write at the same pace, so that all answers grow together; its bound counts 320 KiB for each connection instead of 512.

Result: at most 112 MiB, which are 32 MiB and what is on the way in the connections of the test; the 256 requests end with 502 and 16 others are answered. Tests of rtexchange and rtgateway pass with the race detector.

--- a/internal/rtexchange/budget.go
+++ b/internal/rtexchange/budget.go
@@ -10,8 +10,8 @@
 const (
 	// minCapacity is the first capacity of the memory for a body, in bytes.
 	minCapacity = 4 << 10
-	// uncountedCapacity is the part of each body that a budget does not count, in
-	// bytes, so that long bodies cannot fail short ones.
+	// uncountedCapacity is the part of each body or event that a budget does not
+	// count, in bytes, so that long ones cannot fail short ones.
 	uncountedCapacity = 64 << 10
 )
 
@@ -19,8 +19,8 @@
 // memory.
 var errNoBudget = errors.New("responses use more memory than allowed")
 
-// Budget limits the memory of all bodies that are read with it. Each body counts
-// until its response is closed.
+// Budget limits the memory of all bodies and events that are read with it. A body
+// counts until its response is closed, and so does the largest event of a stream.
 type Budget struct {
 	limit int64 // in bytes
 	used  atomic.Int64
@@ -65,7 +65,7 @@
 	}
 }
 
-// reserve takes the memory of a body from the budget.
+// reserve takes the memory of a body or an event from the budget.
 func (r *Response) reserve(capacity int64) error {
 	more := capacity - uncountedCapacity - r.reserved
 	if r.budget == nil || more <= 0 {
@@ -78,7 +78,7 @@
 	return nil
 }
 
-// release returns the memory of the body to the budget.
+// release returns all memory to the budget.
 func (r *Response) release() {
 	if r.budget != nil {
 		r.budget.used.Add(-r.reserved)
--- a/internal/rtexchange/budget_test.go
+++ b/internal/rtexchange/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -38,6 +39,14 @@
 			t.Errorf("got error %v while the budget is used, want %v", err, errNoBudget)
 		}
 		second.release()
+		events := streamOf("id: 1\n\n"+strings.Repeat("x", long)+"\n\n", io.EOF)
+		if _, err := events.NextEvent(budget); err != nil {
+			t.Errorf("short event: %v", err)
+		}
+		if _, err := events.NextEvent(budget); !errors.Is(err, errNoBudget) {
+			t.Errorf("long event: got error %v while the budget is used, want %v", err, errNoBudget)
+		}
+		events.release()
 		if body, err := bodyOf(t, short).ReadAll(limit, budget); err != nil || len(body) != short {
 			t.Errorf("short body: got %d bytes, error %v, want %d", len(body), err, short)
 		}
--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -24,14 +24,19 @@
 
 // NextEvent returns the next complete event. It returns io.EOF if the stream
 // ended after a complete event, and ErrTruncated if it ended inside one. Empty
-// lines alone are no event, except at the end of the stream.
-func (r *Response) NextEvent() (Event, error) {
+// lines alone are no event, except at the end of the stream. It fails if the
+// budget, which may be nil, does not allow for the event.
+func (r *Response) NextEvent(budget *Budget) (Event, error) {
+	r.budget = budget
 	var event Event
 	lineStart := 0   // in event.Bytes; a line may be longer than the buffer of the body
 	hasLine := false // a line that is not empty has been read
 	for {
 		part, err := r.Body.ReadSlice('\n')
 		event.Bytes = append(event.Bytes, part...)
+		if err := r.reserve(int64(cap(event.Bytes))); err != nil {
+			return Event{}, err
+		}
 		switch {
 		case len(event.Bytes) > maxEventSize:
 			return Event{}, errEventTooLarge
--- a/internal/rtexchange/events_test.go
+++ b/internal/rtexchange/events_test.go
@@ -61,7 +61,7 @@
 			var err error
 			for err == nil {
 				var event Event
-				if event, err = response.NextEvent(); err == nil {
+				if event, err = response.NextEvent(nil); err == nil {
 					got = append(got, expected{string(event.Bytes), event.ID})
 				}
 			}
@@ -93,7 +93,7 @@
 	for _, test := range tests {
 		t.Run(test.received, func(t *testing.T) {
 			response := streamOf("id: 1\n\n"+test.received, io.EOF)
-			if _, err := response.NextEvent(); err != nil {
+			if _, err := response.NextEvent(nil); err != nil {
 				t.Fatal(err)
 			}
 			if got := response.EventBuffered(); got != test.want {
--- a/internal/rtexchange/fuzz_test.go
+++ b/internal/rtexchange/fuzz_test.go
@@ -99,7 +99,7 @@
 		var events []byte
 		for {
 			buffered := response.EventBuffered()
-			event, err := response.NextEvent()
+			event, err := response.NextEvent(nil)
 			if buffered && err != nil {
 				t.Fatalf("an event was buffered, got error %v", err)
 			}
--- a/internal/rtgateway/bodies_test.go
+++ b/internal/rtgateway/bodies_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
@@ -43,45 +44,57 @@
 // memory of the gateway, and against answers of other targets that are lost
 // meanwhile.
 func TestEndlessBodies(t *testing.T) {
-	const (
-		endless = 16
-		// bound allows for the buffers of the connections.
-		bound = maxResponseMemory + endless*(512<<10)
-	)
-	withTestbed(t, 2, func(b *testbed) {
-		var counter openBytes
-		for _, target := range b.targets {
-			target.set(func(c net.Conn, r *run) {
-				if r.request.URL.Path == "/order/short" {
-					answerOK(c, r)
-					return
-				}
-				counted := &countedConn{Conn: c, counter: &counter}
-				repeatText(func(r *run) string { return r.responseHead(200, "") }, strings.Repeat(long, 16), 0)(counted, r)
-				counter.add(-counted.written)
-			})
-		}
-		call := func(path string, want int) *rttask.Task {
-			return rttask.Start(b.t.Context(), path, func(context.Context) error {
-				if got := b.call(http.MethodPost, path, headers("id"), "body"); got.status != want {
-					b.t.Errorf("%s: got status %d, error %v, want status %d", path, got.status, got.err, want)
-				}
-				return nil
-			})
-		}
-		var calls []*rttask.Task
-		for range endless {
-			calls = append(calls, call("/order/endless", http.StatusBadGateway), call("/order/short", http.StatusOK))
-		}
-		for _, task := range calls {
-			if err := <-task.Done(); err != nil {
-				b.t.Error(err)
+	tests := []struct {
+		path    string
+		endless int
+	}{
+		{"/order/", 16},
+		{"/once/", 256},
+	}
+	for _, test := range tests {
+		t.Run(test.path, func(t *testing.T) {
+			withTestbed(t, 24, func(b *testbed) { checkEndlessBodies(b, test.path, test.endless) })
+		})
+	}
+}
+
+func checkEndlessBodies(b *testbed, path string, endless int) {
+	var counter openBytes
+	for _, target := range b.targets {
+		target.set(func(c net.Conn, r *run) {
+			if strings.HasSuffix(r.request.URL.Path, "short") {
+				answerOK(c, r)
+				return
 			}
+			counted := &countedConn{Conn: c, counter: &counter}
+			repeatText(func(r *run) string { return r.responseHead(200, "") }, strings.Repeat(long, 16), 10*time.Millisecond)(counted, r)
+			counter.add(-counted.written)
+		})
+	}
+	call := func(path string, want int) *rttask.Task {
+		return rttask.Start(b.t.Context(), path, func(context.Context) error {
+			if got := b.call(http.MethodPost, path, headers("id"), "body"); got.status != want {
+				b.t.Errorf("%s: got status %d, error %v, want status %d", path, got.status, got.err, want)
+			}
+			return nil
+		})
+	}
+	var calls []*rttask.Task
+	for range endless {
+		calls = append(calls, call(path+"endless", http.StatusBadGateway))
+	}
+	for range 16 {
+		calls = append(calls, call(path+"short", http.StatusOK))
+	}
+	for _, task := range calls {
+		if err := <-task.Done(); err != nil {
+			b.t.Error(err)
 		}
-		counter.mu.Lock()
-		defer counter.mu.Unlock()
-		if counter.peak > bound {
-			b.t.Errorf("held %d MiB of %d answers without end, want at most %d MiB", counter.peak>>20, endless, bound>>20)
-		}
-	})
+	}
+	counter.mu.Lock()
+	defer counter.mu.Unlock()
+	// Each connection has 256 KiB in flight, and 64 KiB that do not count.
+	if bound := maxResponseMemory + endless*(320<<10); counter.peak > bound {
+		b.t.Errorf("held %d MiB of %d answers without end, want at most %d MiB", counter.peak>>20, endless, bound>>20)
+	}
 }
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -84,7 +84,7 @@
 	started       time.Time
 
 	background background
-	bodies     *rtexchange.Budget // memory of long responses
+	bodies     *rtexchange.Budget // memory of long responses and events
 
 	mu           sync.Mutex
 	bounds       Bounds
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -19,8 +19,8 @@
 const (
 	// maxResponse limits a response that is not a stream, in bytes.
 	maxResponse = 16 << 20
-	// maxResponseMemory limits the long responses that are held at the same time,
-	// in bytes: about a seventh of the memory of the smallest gateway VM.
+	// maxResponseMemory limits the long responses and events that are held at the
+	// same time, in bytes: about a seventh of the memory of the smallest gateway VM.
 	maxResponseMemory = 32 << 20
 	// writeSlack is how long after the deadline of a request its caller may
 	// still read the response.
@@ -73,7 +73,7 @@
 	d := r.delivery
 	control := http.NewResponseController(d.request.w)
 	for {
-		event, err := r.response.NextEvent()
+		event, err := r.response.NextEvent(d.gateway.bodies)
 		if errors.Is(err, io.EOF) {
 			r.startResponse()
 			return result{outcome: rtdelivery.Done, detail: "complete", firstEvent: r.firstEvent, longestGap: r.longestGap}
