--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -13,38 +13,61 @@
 // ErrTruncated means that a stream ended inside an event.
 var ErrTruncated = errors.New("stream ended inside an event")
 
+// errEventTooLarge means that an event is larger than maxEventSize.
+var errEventTooLarge = errors.New("event of a stream is larger than 1 MiB")
+
 // Event is one complete event of a stream.
 type Event struct {
-	Bytes []byte // as received, including the empty line at the end
+	Bytes []byte // as received, including empty lines before it and the one at its end
 	ID    string // empty if the event has none
 }
 
 // NextEvent returns the next complete event. It returns io.EOF if the stream
-// ended after a complete event, and ErrTruncated if it ended inside one.
-func (r *Response) NextEvent() (Event, error) {
+// ended after a complete event, and ErrTruncated if it ended inside one. Empty
+// lines alone are no event, except at the end of the stream. It fails if the
+// budget, which may be nil, does not allow for the event.
+func (r *Response) NextEvent(budget *Budget) (Event, error) {
+	r.budget = budget
 	var event Event
+	lineStart := 0   // in event.Bytes; a line may be longer than the buffer of the body
+	hasLine := false // a line that is not empty has been read
 	for {
-		line, err := r.Body.ReadSlice('\n')
-		event.Bytes = append(event.Bytes, line...)
+		part, err := r.Body.ReadSlice('\n')
+		event.Bytes = append(event.Bytes, part...)
+		if err := r.reserve(int64(cap(event.Bytes))); err != nil {
+			return Event{}, err
+		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event.Bytes) <= maxEventSize:
+		case len(event.Bytes) > maxEventSize:
+			return Event{}, errEventTooLarge
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(event.Bytes) > 0:
+		case errors.Is(err, io.EOF) && (hasLine || len(event.Bytes) > lineStart):
 			return Event{}, ErrTruncated
+		case errors.Is(err, io.EOF) && len(event.Bytes) > 0:
+			return event, nil
 		case err != nil:
 			return Event{}, err
-		case len(event.Bytes) > maxEventSize:
-			return Event{}, errors.New("event of a stream is larger than 1 MiB")
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
+		lineStart = len(event.Bytes)
+		if len(line) == 0 && hasLine {
 			return event, nil
 		}
-		if id, found := bytes.CutPrefix(text, []byte("id:")); found {
+		hasLine = hasLine || len(line) > 0
+		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			event.ID = string(bytes.TrimSpace(id))
 		}
 	}
 }
 
-// Buffered reports whether the body has bytes that were received and not read.
-func (r *Response) Buffered() bool { return r.Body.Buffered() > 0 }
+// EventBuffered reports whether a complete event was received and not read, so
+// that NextEvent returns without waiting.
+func (r *Response) EventBuffered() bool {
+	received, err := r.Body.Peek(r.Body.Buffered())
+	if err != nil {
+		return false
+	}
+	received = bytes.TrimLeft(received, "\r\n")
+	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
+}
--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -27,11 +27,18 @@
 	dialTimeout     = 300 * time.Millisecond
 	readBufferSize  = 8 << 10
 	writeBufferSize = 8 << 10
+	// maxHeadSize limits a response header together with the interim responses
+	// before it, in bytes. http.ReadResponse has no limit of its own. Common
+	// HTTP servers limit headers to 8 or 16 KiB.
+	maxHeadSize = 64 << 10
 	// maxInterimResponses is the number of interim responses (1xx) after which
 	// Send fails without reading on.
 	maxInterimResponses = 4
 )
 
+// errHeadTooLarge means that a response header is larger than maxHeadSize.
+var errHeadTooLarge = fmt.Errorf("larger than %d bytes", maxHeadSize)
+
 // ErrNotSent means that no part of a request was sent.
 var ErrNotSent = errors.New("not sent")
 
@@ -55,11 +62,14 @@
 	connection net.Conn
 	stopClose  func() bool // stops the closing of connection at the end of the context
 	writeTask  *rttask.Task
+	budget     *Budget // of the body; nil for none
+	reserved   int64   // bytes taken from budget
 }
 
 // Close closes the connection. If the response is not complete, the target sees
 // the disconnect and can stop its work.
 func (r *Response) Close() {
+	r.release()
 	r.stopClose()
 	// The connection is not reused, so an error of closing it does not matter.
 	_ = r.connection.Close()
@@ -102,16 +112,21 @@
 
 // readHead reads the response header, after any interim responses.
 func readHead(connection net.Conn, message *Message) (*Response, error) {
-	reader := bufio.NewReaderSize(connection, readBufferSize)
+	limited := &headReader{reader: connection, remaining: maxHeadSize}
+	reader := bufio.NewReaderSize(limited, readBufferSize)
 	request := &http.Request{Method: message.Method}
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(reader, request) //nolint:bodyclose // Response.Close closes the connection
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, fmt.Errorf("read response header: got status %d, want at least 100", response.StatusCode)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		limited.complete = true
 		return &Response{
 			Status:     response.StatusCode,
 			Header:     response.Header,
@@ -123,22 +138,29 @@
 	return nil, errors.New("got too many interim responses (1xx) before the final one")
 }
 
-// ContentLength returns the announced length of the body, or -1 if unknown.
-func (r *Response) ContentLength() int64 { return r.response.ContentLength }
+// headReader limits the bytes that are read until the header is complete.
+type headReader struct {
+	reader    io.Reader
+	remaining int  // bytes that may still be read
+	complete  bool // the header is complete, and the limit no longer applies
+}
 
-// ReadAll reads the body to its end. It fails if the body is longer than limit
-// bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read response body: %w", err)
+// Read implements io.Reader.
+func (r *headReader) Read(buffer []byte) (int, error) {
+	if r.complete {
+		return r.reader.Read(buffer)
 	}
-	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("response body is longer than %d bytes", limit)
+	if r.remaining == 0 {
+		return 0, errHeadTooLarge
 	}
-	return body, nil
+	n, err := r.reader.Read(buffer[:min(len(buffer), r.remaining)])
+	r.remaining -= n
+	return n, err
 }
 
+// ContentLength returns the announced length of the body, or -1 if unknown.
+func (r *Response) ContentLength() int64 { return r.response.ContentLength }
+
 // write writes the request line, the headers and the body.
 func (m *Message) write(w *bufio.Writer) error {
 	for _, part := range []string{m.Method, " ", m.Path, " HTTP/1.1\r\nHost: ", m.Host, "\r\n"} {
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
@@ -83,6 +84,7 @@
 	started       time.Time
 
 	background background
+	bodies     *rtexchange.Budget // memory of long responses and events
 
 	mu           sync.Mutex
 	bounds       Bounds
@@ -106,6 +108,7 @@
 		views:        dependencies.Views,
 		peers:        dependencies.Peers,
 		onPlacement:  dependencies.OnPlacement,
+		bodies:       rtexchange.NewBudget(maxResponseMemory),
 		started:      time.Now(),
 		bounds:       settings.Bounds,
 		schedulers:   make(map[rtid.Service]*rtplacement.Scheduler),
@@ -146,6 +149,12 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	done := resetUntilDone(r)
+	g.serve(w, r)
+	done() // not after a panic, which breaks the response off
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{w: w, r: r, arrived: time.Now(), view: g.views.View(), info: g.dialect.ParseRequest(r)}
 	for _, stage := range stages {
 		if refused := stage(g, q); refused != nil {
--- a/internal/rtgateway/stream_test.go
+++ b/internal/rtgateway/stream_test.go
@@ -189,3 +189,76 @@
 		}
 	})
 }
+
+// Guards against a target that is taken for alive, or whose stream counts as
+// begun, because of empty lines.
+func TestEmptyLines(t *testing.T) {
+	tests := []struct {
+		name   string
+		script script
+	}{
+		{"without end", repeatText(func(r *run) string { return r.responseHead(200, "") }, "\n", 50*time.Millisecond)},
+		{"then closed", writeText(func(r *run) string { return r.responseHead(200, chunked) + chunk("\r\n\n") })},
+	}
+	for _, test := range tests {
+		for _, path := range []string{"/stream/x", "/once/x"} {
+			t.Run(test.name+path, func(t *testing.T) {
+				withTestbed(t, 2, func(b *testbed) {
+					for _, target := range b.targets {
+						target.set(func(c net.Conn, r *run) {
+							if len(b.allRuns()) == 1 {
+								test.script(c, r)
+								return
+							}
+							answerOK(c, r)
+						})
+					}
+					got := b.call(http.MethodPost, path, headers("id-1"), "")
+					want, wantBody := http.StatusBadGateway, ""
+					if path == "/stream/x" {
+						want, wantBody = http.StatusOK, allEvents()
+					} else if test.name == "without end" {
+						want = http.StatusGatewayTimeout
+					}
+					if got.err != nil || got.status != want || got.status == http.StatusOK && got.body != wantBody {
+						t.Errorf("got status %d, body %.80q, error %v; want status %d, body %q", got.status, got.body, got.err, want, wantBody)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a broken stream that looks complete to a caller with HTTP/1.0,
+// where a response without a length ends with its connection.
+func TestStreamBreaksInOldVersion(t *testing.T) {
+	tests := []struct {
+		name     string
+		script   script
+		complete bool
+	}{
+		{"whole", answerOK, true},
+		{"broken off", breakAfter(2, "", closeConnection), false},
+		{"broken off inside an event", breakAfter(2, "id: 3", closeConnection), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, 1, func(b *testbed) {
+				b.targets[0].set(test.script)
+				c, err := b.network.Host("10.0.9.9").Dial(b.t.Context(), callers)
+				if err != nil {
+					b.t.Fatal(err)
+				}
+				defer func() { _ = c.Close() }()
+				if _, err := io.WriteString(c, "POST /once/x HTTP/1.0\r\nHost: service.example\r\nId: id-1\r\nKey: key\r\nRemaining: 10s\r\n\r\n"); err != nil {
+					b.t.Fatal(err)
+				}
+				got, err := io.ReadAll(c)
+				head, body, _ := strings.Cut(string(got), "\r\n\r\n")
+				if !strings.HasPrefix(head, "HTTP/1.0 200") || !strings.HasPrefix(allEvents(), body) || (err == nil) != test.complete {
+					b.t.Errorf("got %q, error %v, want a part of the stream, complete %v", got, err, test.complete)
+				}
+			})
+		})
+	}
+}
