--- a/internal/rtid/id.go
+++ b/internal/rtid/id.go
@@ -25,6 +25,9 @@
 // Request is the ID of one request, unique across all entries and agents.
 type Request string
 
+// Part is the ID of a part of a prompt that several requests may share.
+type Part string
+
 // Address is the host and port of a listener, with the host as an IP address.
 type Address string
 
