Exchange evidence against parts of prompts between gateways

What callers would see: with seven gateways and five crashes, none of them has seen enough to reject a part that crashes targets.

Change: digests carry observations of rtquarantine, at most 4 KiB, to the own cell and to other cells. A gateway that offers no evidence sends and merges none, as is the case until it is wired. Digests also carry the time at which they were made on the sender's clock: evidence that took over 0.5 s longer than the least delay of that sender is dropped, because it waited while a process was paused and its ages are wrong.

Result: round trips to both kinds of cell and the size limit with names of 8, 60 and 3,000 bytes hold; they fail without the merge, without the evidence in digests to other cells and without the limit. The test of delayed digests fails without the check and without the reset after a restart of the sender.

--- a/internal/rtpeer/cell.go
+++ b/internal/rtpeer/cell.go
@@ -16,7 +16,8 @@
 	// a digest of each process reaches all others of the cell within a second.
 	cellSize = 30
 	// otherCellRounds is how many digests are sent to the own cell for each one
-	// to other cells. Digests to other cells have no loads and no cooldowns.
+	// to other cells. Digests to other cells have no loads and no cooldowns, but
+	// evidence, because a part of a prompt may crash the targets of all cells.
 	otherCellRounds = 8
 	// otherCellAliveTimeout is aliveTimeout for processes of other cells.
 	otherCellAliveTimeout = 30 * time.Second
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -10,17 +10,21 @@
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
 )
 
 // digest is the message that a process sends to its peers.
 type digest struct {
 	VM         rtid.VM                      `json:"vm"`
 	Address    rtid.Address                 `json:"address"`
+	Start      rtid.Incarnation             `json:"start"`
+	Sent       int64                        `json:"sent"` // time since Start, in ms
 	Revision   uint64                       `json:"revision"`
 	ContactAge int64                        `json:"age"` // time since the last response from the store, in ms; unknownAge for none
 	Peers      []rtid.Address               `json:"peers,omitempty"`
 	Loads      map[rtid.Target]reportedLoad `json:"loads,omitempty"`
 	Cooldowns  map[rtid.Target]int64        `json:"avoid,omitempty"` // remaining cooldown of targets that failed, in ms
+	Evidence   []reportedEvidence           `json:"evidence,omitempty"`
 }
 
 // reportedLoad is the encoding of a load in a digest: requests, interactive
@@ -63,14 +67,19 @@
 		message := g.newDigest(round%peerListRounds == 0 || g.newPeer.Swap(false))
 		g.sendTo(socket, ownCell, message)
 		if round%otherCellRounds == 0 && len(otherCells) > 0 {
-			message.Loads, message.Cooldowns = nil, nil
-			g.sendTo(socket, otherCells, message)
+			g.sendTo(socket, otherCells, message.forOtherCells())
 		}
 		round++
 		timer.Reset(digestInterval * time.Duration(max(1, len(ownCell)/peersPerInterval)))
 	}
 }
 
+// forOtherCells returns the digest without what concerns the targets of the cell.
+func (d digest) forOtherCells() digest {
+	d.Loads, d.Cooldowns = nil, nil
+	return d
+}
+
 // peerAddresses returns the addresses of the peers of the own cell, in random
 // order, and of those of other cells.
 func (g *Group) peerAddresses() (ownCell, otherCells []rtid.Address) {
@@ -90,7 +99,13 @@
 // newDigest returns a digest of the current state. It lists live peers only if
 // withPeers is set.
 func (g *Group) newDigest(withPeers bool) digest {
-	message := digest{VM: g.options.VM, Address: g.options.Address, Loads: make(map[rtid.Target]reportedLoad)}
+	message := digest{
+		VM:      g.options.VM,
+		Address: g.options.Address,
+		Start:   rtid.NewIncarnation(g.started),
+		Sent:    time.Since(g.started).Milliseconds(),
+		Loads:   make(map[rtid.Target]reportedLoad),
+	}
 	if view := g.options.Feed.View(); view != nil {
 		message.Revision = g.options.Feed.Revision()
 	}
@@ -108,6 +123,7 @@
 	for target, remaining := range g.options.Loads.Cooldowns() {
 		message.Cooldowns[target] = remaining.Milliseconds()
 	}
+	message.Evidence = g.localEvidence()
 	return message
 }
 
@@ -162,8 +178,8 @@
 	return nil
 }
 
-// applyDigest applies one digest: it passes the loads and cooldowns on, records
-// the state of the sender and adds the peers that the digest lists.
+// applyDigest applies one digest: it passes the loads, cooldowns and evidence on,
+// records the state of the sender and adds the peers that the digest lists.
 func (g *Group) applyDigest(message digest) {
 	loads := make(map[rtid.Target]rtplacement.Load, len(message.Loads))
 	for target, load := range message.Loads {
@@ -175,6 +191,9 @@
 		cooldowns[target] = time.Duration(remaining) * time.Millisecond
 	}
 	g.options.Loads.ApplyPeerCooldowns(cooldowns)
+	if g.recordDelay(message, time.Now()) <= rtquarantine.MaxDelay {
+		g.mergeEvidence(message.Evidence)
+	}
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -1,5 +1,6 @@
 // Package rtpeer lets the gateways of a deployment discover each other and
-// exchange their loads, cooldowns and the revision of their published state.
+// exchange their loads, cooldowns, evidence against parts of prompts and the
+// revision of their published state.
 //
 // A process sends a small digest by UDP to the peers that it knows. When a peer
 // reports a higher revision, and the process does not read the store or has not
@@ -22,6 +23,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
 
@@ -83,15 +85,27 @@
 	ApplyPeerCooldowns(targets map[rtid.Target]time.Duration)
 }
 
+// EvidenceExchange is the part of a gateway whose evidence against parts of
+// prompts peers exchange.
+type EvidenceExchange interface {
+	// Observations returns what this process knows, by itself or from peers, most
+	// relevant first.
+	Observations() []rtquarantine.Observation
+	// MergeObservations adds what a peer knows. Observations that are known have
+	// no effect.
+	MergeObservations(observations []rtquarantine.Observation)
+}
+
 // Options are the settings and dependencies of a group.
 type Options struct {
-	VM      rtid.VM
-	Address rtid.Address // own address for UDP and HTTP between processes
-	Seeds   []rtid.Address
-	Network rtnet.Network
-	Feed    *rtfeed.Feed
-	Loads   LoadExchange
-	Log     logr.Logger
+	VM       rtid.VM
+	Address  rtid.Address // own address for UDP and HTTP between processes
+	Seeds    []rtid.Address
+	Network  rtnet.Network
+	Feed     *rtfeed.Feed
+	Loads    LoadExchange
+	Evidence EvidenceExchange // nil for none
+	Log      logr.Logger
 }
 
 // Group tracks the processes of the deployment that this one knows.
@@ -118,8 +132,9 @@
 	revision     uint64
 	storeContact time.Time // last response from the store that it reported; zero for none
 	aheadSince   time.Time // since when its revision is above the own one; zero if it is not
-	loggedAlive  bool      // the last log line about it says that it is alive
-	otherCell    bool      // belongs to another cell
+	delays       delayEstimate
+	loggedAlive  bool // the last log line about it says that it is alive
+	otherCell    bool // belongs to another cell
 }
 
 // New returns a group that knows its seeds only.
