Quarantine a part after five crashes of any targets

A part that crashes the targets of a small service, of one or two targets that come back under their IDs, would have been admitted for ever: three crashes of different targets were asked for. Five crashes at different times without a success are now enough, which is where the platform begins to count. TestQuarantineThreshold has rows for four and five crashes of one target; the latter failed before.

--- a/internal/rtquarantine/exchange.go
+++ b/internal/rtquarantine/exchange.go
@@ -58,7 +58,7 @@
 	o := Observation{Part: part}
 	later := now.Add(exchangeMargin)
 	if later.Before(s.liveEnd) {
-		o.Crashes = ages(selectReported(s.live, longestChain(s.live, nil), rotation), now)
+		o.Crashes = ages(selectReported(s.live, evidenceOf(s.live), rotation), now)
 	}
 	if later.Sub(s.refutedAt) < refutationTime {
 		refuted := slices.DeleteFunc(slices.Clone(s.settled), func(c crash) bool { return !c.refuted })
--- a/internal/rtquarantine/register.go
+++ b/internal/rtquarantine/register.go
@@ -18,6 +18,11 @@
 	// part into quarantine. The platform counts from the fifth crash, so that one
 	// or two more may happen while processes exchange the evidence.
 	quarantineCrashes = 3
+	// quarantineRepeats is the number of crashes at different times that put a part
+	// into quarantine whatever targets they are of, because a service may have too
+	// few targets for quarantineCrashes. It is the crash from which the platform
+	// counts.
+	quarantineRepeats = 5
 	// simultaneousCrashes is the time within which crashes count once, because the
 	// loss of an availability zone takes many targets with it. It covers the
 	// detection of a loss and the delay of a digest.
--- a/internal/rtquarantine/register_test.go
+++ b/internal/rtquarantine/register_test.go
@@ -49,6 +49,15 @@
 	return events
 }
 
+// repeatedCrashes returns crashes of one target at an interval.
+func repeatedCrashes(ms, count int, parts ...rtid.Part) []event {
+	var events []event
+	for i := range count {
+		events = append(events, event{i * ms, []int{1}, parts})
+	}
+	return events
+}
+
 // Guards against a deadly part that is admitted after the threshold, and against
 // parts in quarantine for crashes that are no evidence.
 func TestQuarantineThreshold(t *testing.T) {
@@ -62,6 +71,8 @@
 		{"enough crashes", crashesEvery(500, quarantineCrashes, "d"), partsOf("d")},
 		{"crashes of one target", []event{{0, []int{1}, partsOf("d")}, {4000, []int{1}, partsOf("d")}, {8000, []int{1}, partsOf("d")}}, nil},
 		{"crashes of two targets", []event{{0, []int{1}, partsOf("d")}, {4000, []int{2}, partsOf("d")}, {8000, []int{1}, partsOf("d")}}, nil},
+		{"four crashes of one target", repeatedCrashes(4000, quarantineRepeats-1, "d"), nil},
+		{"five crashes of one target", repeatedCrashes(4000, quarantineRepeats, "d"), partsOf("d")},
 		{"targets that crash again before others", []event{{0, []int{1}, partsOf("d")}, {4000, []int{1}, partsOf("d")}, {4500, []int{2}, partsOf("d")}, {5000, []int{3}, partsOf("d")}}, partsOf("d")},
 		{"zone lost", []event{{0, zone, partsOf("a", "b")}}, nil},
 		{"zone lost over 240 ms", []event{{0, zone[:3], partsOf("a")}, {120, zone[3:5], partsOf("a")}, {240, zone[5:], partsOf("a")}}, nil},
--- a/internal/rtquarantine/suspect.go
+++ b/internal/rtquarantine/suspect.go
@@ -14,8 +14,8 @@
 	// crash would count a later report of it again.
 	maxCrashes = 24
 	// maxReportedCrashes is how many of these a digest has: those that put the part
-	// into quarantine, the first, the last and one more.
-	maxReportedCrashes = quarantineCrashes + 3
+	// into quarantine, the last and one more.
+	maxReportedCrashes = quarantineRepeats + 2
 )
 
 // crash is a crash of a target. Reports of it arrive late by their delay, so that
@@ -45,7 +45,7 @@
 	changed   bool      // live or settled changed since the last update
 
 	// Derived from live by update.
-	level   int           // number of live crashes of different targets at different times, at most quarantineCrashes
+	level   int           // number of live crashes of different targets at different times, quarantineCrashes if there is enough evidence
 	length  time.Duration // of the quarantine; zero for none
 	until   time.Time     // end of the quarantine, after which it takes a probe; zero for none
 	liveEnd time.Time     // when live is forgotten
@@ -125,9 +125,9 @@
 			s.live = append(s.live, c)
 		}
 	}
-	chain := longestChain(s.live, nil)
+	chain := evidenceOf(s.live)
 	s.live, s.settled = trimLive(s.live, chain), trimSettled(s.settled)
-	s.level, s.length, s.until, s.liveEnd = len(chain), 0, time.Time{}, time.Time{}
+	s.level, s.length, s.until, s.liveEnd = min(len(chain), quarantineCrashes), 0, time.Time{}, time.Time{}
 	if len(s.live) == 0 {
 		return
 	}
@@ -159,6 +159,32 @@
 	return crashes
 }
 
+// evidenceOf returns the crashes that put a part into quarantine, or those that
+// count so far.
+func evidenceOf(crashes []crash) []crash {
+	chain := longestChain(crashes, nil)
+	if len(chain) >= quarantineCrashes {
+		return chain
+	}
+	if repeats := separateCrashes(crashes); len(repeats) >= quarantineRepeats {
+		return repeats
+	}
+	return chain
+}
+
+// separateCrashes returns the first quarantineRepeats of the sorted crashes that
+// are not simultaneous.
+func separateCrashes(crashes []crash) []crash {
+	var separate []crash
+	for _, c := range crashes {
+		if n := len(separate); n == quarantineRepeats || n > 0 && c.at.Sub(separate[n-1].at) <= simultaneousCrashes {
+			continue
+		}
+		separate = append(separate, c)
+	}
+	return separate
+}
+
 // longestChain extends a chain of crashes by those of other targets that are not
 // simultaneous, up to quarantineCrashes. Of the longest ones it returns the first.
 func longestChain(crashes, chain []crash) []crash {
