Keep parts of prompts on which targets crash away from targets

Callers of ordinary requests lost their answers because one part of some prompts crashed each target that began to answer it.

Cause: nothing was known of the parts of a prompt, and a broken connection was a reason to send the request on.

Now a gateway checks whether a target whose connection broke refuses new ones. If it has crashed, the parts of requests whose answer had not gone past its first event are suspects; a request with a suspect that has not succeeded lately is not repeated. Evidence travels in the digests, a success refutes it, and a part beside three crashes of different targets at different times is in quarantine at all gateways: its requests get 503 at once, without Retry-After. Each quarantine and crash is in the log, counted and in /state.

--- a/internal/rtdelivery/attemptstate.go
+++ b/internal/rtdelivery/attemptstate.go
@@ -21,6 +21,7 @@
 	Done                                // done
 	CallerGone                          // caller gone
 	Expired                             // expired
+	Crashed                             // target crashed, perhaps because of the request
 )
 
 // Outcome is what is known of the execution of a request.
@@ -120,7 +121,7 @@
 		s.attempts++
 		s.losses++
 		s.outcome = RanAndFailed
-	case Lost, Expired:
+	case Lost, Expired, Crashed:
 		s.attempts++
 		s.losses++
 		s.outcome = max(s.outcome, Unknown)
--- a/internal/rtdelivery/attemptstate_test.go
+++ b/internal/rtdelivery/attemptstate_test.go
@@ -71,6 +71,8 @@
 		{"draft refused three times", draftLimits, 9, []AttemptOutcome{Refused, Refused, Refused, Done}, 3, AttemptsExhausted, NotRun},
 		{"draft refused, lost and refused", draftLimits, 9, []AttemptOutcome{Refused, Lost, Refused, Done}, 4, Answered, Unknown},
 		{"draft lost twice", draftLimits, 9, []AttemptOutcome{Lost, Lost, Done}, 2, AttemptsExhausted, Unknown},
+		{"stream crashed its target", streamLimits, 9, []AttemptOutcome{Crashed, Done}, 1, AttemptsExhausted, Unknown},
+		{"stream refused, then crashed its target", streamLimits, 9, []AttemptOutcome{Refused, Crashed, Done}, 2, AttemptsExhausted, Unknown},
 		{"no target left", draftLimits, 9, []AttemptOutcome{Refused}, 1, NoTarget, NotRun},
 	}
 	for _, test := range tests {
@@ -122,14 +124,14 @@
 			MaxUndelivered: count.Draw(t, "undelivered"), MaxHelperRefusals: count.Draw(t, "helper refusals"), Repeatable: rapid.Bool().Draw(t, "repeatable"),
 		}}
 		outcome := rapid.Custom(func(t *rapid.T) AttemptOutcome {
-			return AttemptOutcome(rapid.IntRange(int(Lost), int(Expired)).Draw(t, "outcome"))
+			return AttemptOutcome(rapid.IntRange(int(Lost), int(Crashed)).Draw(t, "outcome"))
 		})
 		runner := &scriptedRunner{outcomes: rapid.SliceOfN(outcome, 1, 20).Draw(t, "outcomes"), budget: 20}
 		state.Run(context.Background(), runner)
 		ran, reached := 0, 0
 		for _, made := range runner.made {
 			switch made {
-			case Lost, Failed, Expired, CallerGone, Done:
+			case Lost, Failed, Expired, Crashed, CallerGone, Done:
 				ran++
 				reached++
 			case Refused:
--- a/internal/rtgateway/cooldown.go
+++ b/internal/rtgateway/cooldown.go
@@ -97,6 +97,7 @@
 func (g *Gateway) evictStale(now time.Time) {
 	maps.DeleteFunc(g.cooldowns, func(_ rtid.Target, c cooldown) bool { return now.Sub(c.until) > retention })
 	maps.DeleteFunc(g.lastReceived, func(_ rtid.Target, received time.Time) bool { return now.Sub(received) > retention })
+	maps.DeleteFunc(g.checks, func(_ rtid.Target, check *targetCheck) bool { return now.Sub(check.started) > retention })
 	maps.DeleteFunc(g.recentSends, func(_ rtid.Target, sends *rtlimit.Window) bool { return sends.Count(now) == 0 })
 }
 
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -46,6 +46,8 @@
 	headWritten    bool            // status and headers have been written to the caller
 	lastEventID    string          // ID of the last whole event that was written to the caller
 	lastEventAt    time.Time       // when it was received; zero before the first event
+	answerProven   bool            // the target of the current attempt lived on after its first event
+	probe          bool            // it shows whether a part in quarantine still crashes targets
 }
 
 const (
@@ -76,6 +78,7 @@
 	rtdelivery.Infeasible:    "no memory for the prompt",
 	rtdelivery.Failed:        "target failed",
 	rtdelivery.Expired:       "time over at target",
+	rtdelivery.Crashed:       "target crashed",
 }
 
 // newDelivery returns the delivery of a request, with the limits of its route.
@@ -135,6 +138,9 @@
 // noTargetTimeout while no target may receive it.
 func (d *delivery) SelectTarget(ctx context.Context) bool {
 	q := d.request
+	if !d.partsAllowed() {
+		return false
+	}
 	if next, ok := d.takeSuccessor(); ok {
 		d.scheduled = next
 		d.tried = append(d.tried, next.Target.ID)
@@ -167,6 +173,9 @@
 			d.refusal = refused
 			return false
 		}
+		if !d.partsAllowed() {
+			return false
+		}
 	}
 }
 
@@ -285,6 +294,7 @@
 func (d *delivery) send(ctx context.Context, placement rtplacement.Placement, inFlight *rtplacement.InFlightRequest) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	d.answerProven = false
 	guard := d.startWatchdog(placement.Target.ID, cancel)
 	defer guard.stop()
 	reserved, err := d.reserve(ctx, placement)
@@ -350,6 +360,9 @@
 		return result{outcome: rtdelivery.NotSent, detail: detail}
 	default:
 		d.gateway.startCooldown(target.ID, detail)
+		if d.suspectOfCrash(ctx, target) {
+			return result{outcome: rtdelivery.Crashed, detail: detail}
+		}
 		return result{outcome: rtdelivery.Lost, detail: detail}
 	}
 }
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
 )
 
 // Settings are the settings of a gateway at its start. SetBounds changes
@@ -57,17 +58,20 @@
 	// BudgetProcesses returns the number of processes that may use shared
 	// budgets, including this one. It is never less than the true number.
 	BudgetProcesses() int
+	// Designated reports whether this process is the one of all live processes
+	// that a key designates.
+	Designated(key string) bool
 }
 
 // Dependencies are what a gateway needs from its program.
 type Dependencies struct {
-	Network     rtnet.Network
-	Log         logr.Logger
-	Metrics     *rtmetric.Metrics
-	Dialect     Dialect
-	Views       Views
-	Peers       Peers
-	OnPlacement func() // called after a placement that peers should soon know of
+	Network rtnet.Network
+	Log     logr.Logger
+	Metrics *rtmetric.Metrics
+	Dialect Dialect
+	Views   Views
+	Peers   Peers
+	OnNews  func() // called after a change that peers should soon know of
 }
 
 // Gateway is a process that serves callers from targets.
@@ -79,7 +83,7 @@
 	dialect       Dialect
 	views         Views
 	peers         Peers
-	onPlacement   func()
+	onNews        func()
 	drainingSince atomic.Pointer[time.Time] // start of the graceful shutdown; nil before it
 	started       time.Time
 
@@ -94,7 +98,9 @@
 	recentSends  map[rtid.Target]*rtlimit.Window // of the last second
 	cellEngines  map[rtid.Service]cellEngines
 	cooldowns    map[rtid.Target]cooldown
-	lastReceived map[rtid.Target]time.Time // when data of a target was last received
+	lastReceived map[rtid.Target]time.Time    // when data of a target was last received
+	checks       map[rtid.Target]*targetCheck // the last one of each target
+	quarantine   rtquarantine.Register
 }
 
 // New returns a gateway that has not started.
@@ -107,8 +113,8 @@
 		dialect:      dependencies.Dialect,
 		views:        dependencies.Views,
 		peers:        dependencies.Peers,
-		onPlacement:  dependencies.OnPlacement,
 		bodies:       rtexchange.NewBudget(maxResponseMemory),
+		onNews:       dependencies.OnNews,
 		started:      time.Now(),
 		bounds:       settings.Bounds,
 		schedulers:   make(map[rtid.Service]*rtplacement.Scheduler),
@@ -117,6 +123,7 @@
 		cellEngines:  make(map[rtid.Service]cellEngines),
 		cooldowns:    make(map[rtid.Target]cooldown),
 		lastReceived: make(map[rtid.Target]time.Time),
+		checks:       make(map[rtid.Target]*targetCheck),
 	}
 }
 
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -54,7 +54,7 @@
 	}
 	g.recentSendsOf(placed.Target.ID).Add(now)
 	if placed.PartPrefill >= announcedPart {
-		g.onPlacement()
+		g.onNews()
 	}
 	placed.inFlight = g.loads.Start(placed.Placement, q.work, now)
 	return placed, true
--- a/internal/rtgateway/refusal.go
+++ b/internal/rtgateway/refusal.go
@@ -12,6 +12,7 @@
 	reason     string        // one of a fixed set, used as a metric label
 	detail     string        // only logged
 	retryAfter time.Duration // delay before a retry; 0 to name none
+	lasting    bool          // a retry would be refused, too
 }
 
 // notRun returns a refusal that promises that the request has not run and
@@ -31,6 +32,8 @@
 // text tells the caller what happened and what to do.
 func (r *refusal) text() string {
 	switch {
+	case r.lasting:
+		return r.reason + ": the request has not run and will not; targets have crashed on this part, send the prompt without it"
 	case r.status == http.StatusServiceUnavailable && r.retryAfter > 0:
 		return r.reason + ": the request has not run and will not; send it again after the time in Retry-After"
 	case r.status == http.StatusServiceUnavailable:
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -54,6 +54,7 @@
 	if r.response.Status >= http.StatusInternalServerError {
 		return result{outcome: rtdelivery.Failed, detail: strconv.Itoa(r.response.Status), failedResponse: response}
 	}
+	r.proveParts()
 	response.write(r.delivery.request.w)
 	return result{outcome: rtdelivery.Done, detail: strconv.Itoa(r.response.Status)}
 }
@@ -82,6 +83,7 @@
 	for {
 		event, err := r.response.NextEvent(d.gateway.bodies)
 		if errors.Is(err, io.EOF) {
+			r.proveParts()
 			r.startResponse()
 			return result{outcome: rtdelivery.Done, detail: "complete"}
 		}
@@ -114,9 +116,19 @@
 		r.firstEvent = gap
 		return
 	}
+	r.proveParts()
 	r.longestGap = max(r.longestGap, gap)
 }
 
+// proveParts records that the target lived on after it had begun to answer.
+func (r *relay) proveParts() {
+	d := r.delivery
+	if !d.answerProven {
+		d.answerProven = true
+		d.gateway.recordSound(d.request.info.Parts)
+	}
+}
+
 // startResponse records that the prompt has been prefilled and that the target
 // responds. It writes status and headers to the caller unless an earlier call
 // for the request has done so.
--- a/internal/rtgateway/request.go
+++ b/internal/rtgateway/request.go
@@ -23,6 +23,7 @@
 	Prompt      rtid.Tokens
 	Output      rtid.Tokens // at most
 	LastEventID string      // the event after which a stream resumes; empty to start at the first
+	Parts       []rtid.Part // of the prompt that other requests may share
 }
 
 // Helper is a target that prefills a part of a prompt.
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -34,6 +34,10 @@
 	info.Remaining, _ = time.ParseDuration(r.Header.Get("Remaining"))
 	size, _ := strconv.Atoi(r.Header.Get("Size"))
 	info.Prompt = rtid.Tokens(size)
+	parts := strings.Split(r.Header.Get("Parts"), ",")
+	for _, part := range parts[:len(parts)-1] { // the last one is the request's own
+		info.Parts = append(info.Parts, rtid.Part(part))
+	}
 	return info
 }
 
@@ -171,6 +175,7 @@
 
 func (noPeers) Cell() rtplacement.Cell { return rtplacement.Cell{} }
 func (noPeers) BudgetProcesses() int   { return 1 }
+func (noPeers) Designated(string) bool { return true }
 
 // testViews returns the view that the test has published.
 type testViews struct{ b *testbed }
@@ -200,13 +205,13 @@
 			VM: "entry-1", Zone: "a", Callers: callers, Readiness: readiness,
 			Bounds: Bounds{RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, Grace: grace, ColdFactor: 1.5},
 		}, Dependencies{
-			Network:     b.network.Host("10.0.0.1"),
-			Log:         funcr.New(b.addLogLine, funcr.Options{}),
-			Metrics:     metrics,
-			Dialect:     testDialect{},
-			Views:       testViews{b},
-			Peers:       noPeers{},
-			OnPlacement: func() {},
+			Network: b.network.Host("10.0.0.1"),
+			Log:     funcr.New(b.addLogLine, funcr.Options{}),
+			Metrics: metrics,
+			Dialect: testDialect{},
+			Views:   testViews{b},
+			Peers:   noPeers{},
+			OnNews:  func() {},
 		})
 		task := rttask.Start(t.Context(), "gateway", b.gateway.Run)
 		b.stop = sync.OnceValue(task.Stop)
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeed"
@@ -208,6 +209,30 @@
 	return count
 }
 
+// Designated reports whether this process is the one of all live processes that
+// a key designates. Processes that are cut off from one another designate one in
+// each part, and one that has just started designates itself for nothing, because
+// it does not know all others yet.
+func (g *Group) Designated(key string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if time.Since(g.started) < aliveTimeout {
+		return false
+	}
+	own := designationHash(key, g.options.VM)
+	for _, p := range g.peers {
+		if time.Since(p.lastDigest) < p.aliveTimeout() && designationHash(key, p.vm) < own {
+			return false
+		}
+	}
+	return true
+}
+
+// designationHash returns the hash that orders processes for a key.
+func designationHash(key string, vm rtid.VM) uint64 {
+	return xxhash.Sum64String(key + " " + string(vm))
+}
+
 // TriggerDigest makes the group send its next digest at once.
 func (g *Group) TriggerDigest() { signal(g.sendNow) }
 
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeed"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtgateway"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtpeer"
@@ -63,22 +65,23 @@
 	process.feed = rtfeed.New(platform.NewStore(network, settings.StoreAddress), platform.NewItems(log), log)
 	peers := &deferredGroup{}
 	process.gateway = rtgateway.New(settings.Gateway, rtgateway.Dependencies{
-		Network:     network,
-		Log:         log,
-		Metrics:     metrics,
-		Dialect:     platform.Headers{},
-		Views:       process.feed,
-		Peers:       peers,
-		OnPlacement: func() { process.group.TriggerDigest() },
-	})
-	process.group = rtpeer.New(rtpeer.Options{
-		VM:      settings.Gateway.VM,
-		Address: settings.PeerAddress,
-		Seeds:   settings.Seeds,
 		Network: network,
-		Feed:    process.feed,
-		Loads:   process.gateway,
 		Log:     log,
+		Metrics: metrics,
+		Dialect: platform.Headers{},
+		Views:   process.feed,
+		Peers:   peers,
+		OnNews:  func() { process.group.TriggerDigest() },
+	})
+	process.group = rtpeer.New(rtpeer.Options{
+		VM:       settings.Gateway.VM,
+		Address:  settings.PeerAddress,
+		Seeds:    settings.Seeds,
+		Network:  network,
+		Feed:     process.feed,
+		Loads:    process.gateway,
+		Evidence: process.gateway,
+		Log:      log,
 	})
 	peers.Group = process.group
 	return process
@@ -117,7 +120,10 @@
 		p.log.Error(err, "Metrics listener failed; callers are served without metrics.")
 		return nil
 	}
-	server := &http.Server{Handler: p.metrics.Handler, ReadHeaderTimeout: time.Second}
+	routes := http.NewServeMux()
+	routes.Handle("/", p.metrics.Handler)
+	routes.HandleFunc("GET /state", p.serveState)
+	server := &http.Server{Handler: routes, ReadHeaderTimeout: time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -126,6 +132,46 @@
 	return nil
 }
 
+// stateDump is the state of a gateway that operators may read.
+type stateDump struct {
+	Revision uint64    `json:"revision"`
+	Suspects []suspectDump `json:"suspects"` // most relevant first
+}
+
+// suspectDump is the evidence that targets crash on a part of prompts.
+type suspectDump struct {
+	Part        rtid.Part     `json:"part"`
+	Crashes     int           `json:"crashes"` // since the last success
+	First       *time.Time    `json:"first,omitempty"`
+	Last        *time.Time    `json:"last,omitempty"`
+	Targets     []rtid.Target `json:"targets"`
+	Quarantined bool          `json:"quarantined"`
+	Until       *time.Time    `json:"until,omitempty"` // end of the quarantine, after which one request probes the part
+}
+
+// serveState serves the state dump.
+func (p *gatewayProcess) serveState(w http.ResponseWriter, _ *http.Request) {
+	dump := stateDump{Revision: p.feed.Revision(), Suspects: []suspectDump{}}
+	for _, s := range p.gateway.Suspects() {
+		dump.Suspects = append(dump.Suspects, suspectDump{
+			Part: s.Part, Crashes: s.Crashes, First: optionalTime(s.First), Last: optionalTime(s.Last),
+			Targets: s.Targets, Quarantined: s.Quarantined, Until: optionalTime(s.Until),
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(dump); err != nil {
+		p.log.Info("State dump cannot be sent.", "error", err.Error())
+	}
+}
+
+// optionalTime returns nil for the zero time, which JSON then omits.
+func optionalTime(t time.Time) *time.Time {
+	if t.IsZero() {
+		return nil
+	}
+	return &t
+}
+
 // reloadSettings rereads the settings file after a SIGHUP and at every
 // settingsInterval, and applies its bounds and seeds. If the file cannot be read
 // or is invalid, the settings in force stay.
