--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -134,7 +134,7 @@
 
 // stateDump is the state of a gateway that operators may read.
 type stateDump struct {
-	Revision uint64    `json:"revision"`
+	Revision uint64        `json:"revision"`
 	Suspects []suspectDump `json:"suspects"` // most relevant first
 }
 
