--- a/internal/rtgateway/continuation_test.go
+++ b/internal/rtgateway/continuation_test.go
@@ -148,7 +148,9 @@
 					t.Errorf("got status %d, body %q, error %v; want the whole stream; attempts %s", got.status, got.body, got.err, describe(b.allRuns()))
 				}
 				if draining {
-					<-stopped // withTestbed checks the result
+					if err := <-stopped; err != nil {
+						t.Error(err)
+					}
 				}
 			})
 		})
