Hold a crash against the parts of a prompt that have not succeeded

Cause: a crash spoke against all parts of a request, and only a success after it could clear the innocent ones. Between three quick crashes there was none, and in quarantine a part cannot succeed.

Now a crash speaks against the parts without a success within 30 s, and if all have one, against the part whose success is the oldest. TestSharedPartIsServedAtLowTraffic failed before and passes.

--- a/internal/rtquarantine/register.go
+++ b/internal/rtquarantine/register.go
@@ -114,17 +114,17 @@
 	return unproven
 }
 
-// RecordCrash records one crash of a target and the parts of the requests there
+// RecordCrash records one crash of a target and the parts of one request there
 // whose answer had not gone past its first event. It returns the parts that are
 // newly in quarantine.
 //
-// A recent success does not protect a part: it could have become deadly since
-// then, and would crash targets until soundWindow has passed. Sound parts stay
-// out of quarantine because a success after the crash refutes it, here or at any
-// peer, and parts that many requests share succeed several times a second.
+// The crash speaks against the parts without a success within soundWindow. If all
+// have one, it speaks against the part whose success is the oldest, because it may
+// have become deadly since then. A success after the crash refutes it, here or at
+// any peer.
 func (r *Register) RecordCrash(target rtid.Target, parts []rtid.Part, now time.Time) []rtid.Part {
 	var quarantined []rtid.Part
-	for _, part := range parts {
+	for _, part := range r.likeliest(parts, now) {
 		s := r.suspect(part, now)
 		before := s.quarantined(now)
 		s.add(crash{target: target, at: now})
@@ -137,6 +137,24 @@
 	return quarantined
 }
 
+// likeliest returns the parts of a request that a crash speaks against.
+func (r *Register) likeliest(parts []rtid.Part, now time.Time) []rtid.Part {
+	var unproven, oldest []rtid.Part
+	for _, part := range parts {
+		last := r.sound.last(part)
+		if now.Sub(last) > soundWindow {
+			unproven = append(unproven, part)
+		}
+		if len(oldest) == 0 || last.Before(r.sound.last(oldest[0])) {
+			oldest = []rtid.Part{part}
+		}
+	}
+	if len(unproven) > 0 {
+		return unproven
+	}
+	return oldest
+}
+
 // suspect returns the evidence about a part that is not too old and creates it if there is none.
 func (r *Register) suspect(part rtid.Part, now time.Time) *suspect {
 	s := r.suspects[part]
