Ask an engine that refused memory only once for a prompt

A stream with a large prompt was broken off although 22 engines had memory: each of six attempts for its continuation planned with the same loads and asked the engine first that had just refused. An engine that refuses memory or does not answer is now left out of the further plans for the prompt. An attempt that the watchdog cancels while it reserves memory counts as not sent, so that its reserved successor follows.

The second change has no test of its own.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -38,6 +38,7 @@
 	attempts rtdelivery.AttemptState
 
 	tried          []rtid.Target
+	withoutMemory  []rtid.Target   // engines that have refused memory for the prompt or not answered
 	scheduled      scheduled       // of the current attempt
 	successor      *scheduled      // reserved for the next attempt, its retry is taken; nil for none
 	refusal        *refusal        // why no target was selected; nil if the caller has disconnected
@@ -299,7 +300,7 @@
 	defer guard.stop()
 	reserved, err := d.reserve(ctx, placement)
 	if err != nil {
-		return result{outcome: d.unreservedOutcome(), detail: err.Error()}
+		return result{outcome: d.unreservedOutcome(ctx), detail: err.Error()}
 	}
 	defer d.release(reserved)
 	if renewal := d.renew(reserved); renewal != nil {
@@ -335,9 +336,10 @@
 
 // unreservedOutcome returns the outcome of an attempt that got no memory for its
 // prompt. A new request is refused, so that its caller can come back; an answer
-// that has begun is continued with the memory of other engines.
-func (d *delivery) unreservedOutcome() rtdelivery.AttemptOutcome {
-	if d.headWritten {
+// that has begun is continued with the memory of other engines, and an attempt
+// that the watchdog has cancelled meanwhile is followed by the reserved one.
+func (d *delivery) unreservedOutcome(ctx context.Context) rtdelivery.AttemptOutcome {
+	if d.headWritten || errors.Is(context.Cause(ctx), errSilent) {
 		return rtdelivery.NotSent
 	}
 	return rtdelivery.Infeasible
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -52,7 +52,7 @@
 	if engine == nil {
 		return nil, nil
 	}
-	planned, ok := d.gateway.planReservations(d.request, placement.Target)
+	planned, ok := d.gateway.planReservations(d.request, placement.Target, d.withoutMemory)
 	if !ok {
 		return nil, errNoMemory
 	}
@@ -67,6 +67,7 @@
 		if err := r.command(ctx, true); err != nil {
 			d.gateway.log.Info("Memory not set aside.", "request", d.request.info.ID, "target", memory.Target.ID,
 				"tokens", memory.Tokens, "error", err.Error())
+			d.withoutMemory = append(d.withoutMemory, memory.Target.ID)
 			d.release(reserved)
 			return nil, err
 		}
@@ -74,14 +75,14 @@
 	return reserved, nil
 }
 
-// planReservations returns the memory that a request needs at other engines.
-// It reports false if they have too little.
-func (g *Gateway) planReservations(q *request, target *rtcatalog.Instance) ([]rtplacement.Reservation, bool) {
+// planReservations returns the memory that a request needs at other engines,
+// without the excluded ones. It reports false if they have too little.
+func (g *Gateway) planReservations(q *request, target *rtcatalog.Instance, excluded []rtid.Target) ([]rtplacement.Reservation, bool) {
 	view := g.views.View()
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return rtplacement.PlanReservations(q.service.Engine, q.work, target, g.candidates(view, g.cellInstances(view, q.service), q.service, nil, now))
+	return rtplacement.PlanReservations(q.service.Engine, q.work, target, g.candidates(view, g.cellInstances(view, q.service), q.service, excluded, now))
 }
 
 // renew starts a task that renews reservations until it is stopped.
