--- a/internal/rtgateway/crash.go
+++ b/internal/rtgateway/crash.go
@@ -57,11 +57,16 @@
 	g.mu.Unlock()
 	if started {
 		// Others wait for the result, so it must not end with this request.
+		defer close(check.done)
 		check.crashed = g.refusesConnections(context.WithoutCancel(ctx), target.Address)
-		close(check.done)
+		return check.crashed
+	}
+	select {
+	case <-check.done:
+		return check.crashed
+	case <-ctx.Done():
+		return false
 	}
-	<-check.done
-	return check.crashed
 }
 
 // refusesConnections reports whether nothing listens at an address. A process that
