Log the rate limits that targets name

A change of a target's limit, and a limit that cannot be used, now get a log line; a counter counts the changes. Nothing acts on them yet.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -314,6 +314,7 @@
 	defer response.Close()
 	d.gateway.recordResponse(placement.Target.ID)
 	info := d.gateway.dialect.ParseResponse(response.Status, response.Header)
+	d.gateway.recordRateLimit(placement.Target, info)
 	switch {
 	case info.Request != d.request.info.ID && !info.NotRun:
 		return result{outcome: rtdelivery.Lost, detail: "response has the id of another request"}
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -101,6 +101,7 @@
 	lastReceived map[rtid.Target]time.Time    // when data of a target was last received
 	checks       map[rtid.Target]*targetCheck // the last one of each target
 	quarantine   rtquarantine.Register
+	rateLimits   map[rtid.Target]rtlimit.Rate // last limit that each target has named
 }
 
 // New returns a gateway that has not started.
@@ -124,6 +125,7 @@
 		cooldowns:    make(map[rtid.Target]cooldown),
 		lastReceived: make(map[rtid.Target]time.Time),
 		checks:       make(map[rtid.Target]*targetCheck),
+		rateLimits:   make(map[rtid.Target]rtlimit.Rate),
 	}
 }
 
--- a/internal/rtgateway/request.go
+++ b/internal/rtgateway/request.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 )
 
@@ -49,6 +50,11 @@
 	Stamped bool         // the response was created by a target
 	NotRun  bool         // the target has not run the request and never will
 	Fault   string       // ID or address of the target at fault; empty if none is named
+	// RateLimit is the rate limit that the target names, for all gateways
+	// together. It is rtlimit.Unlimited if the response names none.
+	RateLimit rtlimit.Rate
+	// RateLimitErr says why the limit of a response cannot be used.
+	RateLimitErr error
 }
 
 // Dialect reads and writes the headers of callers and targets.
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
@@ -57,12 +58,18 @@
 }
 
 func (testDialect) ParseResponse(status int, header http.Header) ResponseInfo {
-	return ResponseInfo{
-		Request: rtid.Request(header.Get("Id")),
-		Stamped: header.Get("Stamp") != "",
-		NotRun:  header.Get("Notrun") != "" || status == http.StatusMisdirectedRequest,
-		Fault:   header.Get("Fault"),
+	info := ResponseInfo{
+		Request:   rtid.Request(header.Get("Id")),
+		Stamped:   header.Get("Stamp") != "",
+		NotRun:    header.Get("Notrun") != "" || status == http.StatusMisdirectedRequest,
+		Fault:     header.Get("Fault"),
+		RateLimit: rtlimit.Unlimited,
 	}
+	if text := header.Get("Limit"); text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		info.RateLimit, info.RateLimitErr = rtlimit.Rate(rate), err
+	}
+	return info
 }
 
 func (testDialect) Reserve(target rtid.Target, ticket string, tokens rtid.Tokens, ttl time.Duration) *rtexchange.Message {
