Follow the rate limits that targets name

Equal parts for all would add up to more than a low limit because each process sends whole requests. A gateway that has just started or was paused is no sender for 4 s. Digests carry what targets have said, with the ages of request and response between which they said it, so that an overtaken response neither lifts nor raises a limit. A request that gets no place in time is refused at once, as not run. A limited engine helps with no parts and gets no memory commands; short requests leave its places to long ones for a while.

--- a/internal/rtcatalog/catalog.go
+++ b/internal/rtcatalog/catalog.go
@@ -156,7 +156,8 @@
 // Instance is one start of a target: a target that restarts becomes a new
 // instance.
 type Instance struct {
-	ID            rtid.Target // unique to this start
+	ID            rtid.Target
+	Born          rtid.Incarnation // orders starts under one ID; 0 if unknown
 	Service       rtid.Service
 	Address       rtid.Address
 	Zone          rtid.Zone
@@ -168,6 +169,11 @@
 	CreatedRevision uint64
 }
 
+// Incarnation returns the identity of this start of the target.
+func (i *Instance) Incarnation() rtid.TargetIncarnation {
+	return rtid.TargetIncarnation{ID: i.ID, Born: i.Born}
+}
+
 // View is a process's immutable copy of the published state and the known
 // targets, at one revision.
 type View struct {
--- a/internal/rtgateway/cooldown.go
+++ b/internal/rtgateway/cooldown.go
@@ -99,6 +99,8 @@
 	maps.DeleteFunc(g.lastReceived, func(_ rtid.Target, received time.Time) bool { return now.Sub(received) > retention })
 	maps.DeleteFunc(g.checks, func(_ rtid.Target, check *targetCheck) bool { return now.Sub(check.started) > retention })
 	maps.DeleteFunc(g.recentSends, func(_ rtid.Target, sends *rtlimit.Window) bool { return sends.Count(now) == 0 })
+	maps.DeleteFunc(g.limitLogs, func(_ rtid.Target, l limitLog) bool { return now.Sub(l.last()) > limitFindingInterval })
+	g.forgetLimits(g.views.View(), now)
 }
 
 // ApplyPeerCooldowns starts the cooldowns that a peer reports. It skips targets
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -48,6 +48,7 @@
 	lastEventID    string          // ID of the last whole event that was written to the caller
 	lastEventAt    time.Time       // when it was received; zero before the first event
 	answerProven   bool            // the target of the current attempt lived on after its first event
+	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
 	probe          bool            // it shows whether a part in quarantine still crashes targets
 }
 
@@ -147,12 +148,18 @@
 		d.tried = append(d.tried, next.Target.ID)
 		return true
 	}
+	defer d.leavePlaceQueue()
 	for {
 		work := q.work
 		work.Waited, work.Begun = time.Since(d.waitingSince()), d.headWritten
 		candidate, ok := d.gateway.place(q, work, d.tried)
 		if !ok {
-			if work.Waited >= d.noTargetTimeout() {
+			remaining := d.noTargetTimeout() - work.Waited
+			if len(candidate.places) > 0 && !d.waitForPlace(candidate.places, remaining) {
+				d.refusal = d.giveUpAfter(reasonRateLimit, candidate.places.retryAfter())
+				return false
+			}
+			if remaining <= 0 {
 				d.refusal = d.giveUp("no target")
 				return false
 			}
@@ -180,6 +187,36 @@
 	}
 }
 
+// waitForPlace reports whether the request may wait for a place at a target that
+// limits its rate. It may if there are as many places within the remaining time as
+// requests that wait for them.
+func (d *delivery) waitForPlace(places limitPlaces, remaining time.Duration) bool {
+	g := d.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	service := d.request.service.Name
+	free := places.within(remaining)
+	if !d.inPlaceQueue {
+		if g.limitWaiting[service] >= free {
+			return false
+		}
+		d.inPlaceQueue = true
+		g.limitWaiting[service]++
+	}
+	return free > 0
+}
+
+// leavePlaceQueue ends a wait for a place.
+func (d *delivery) leavePlaceQueue() {
+	if !d.inPlaceQueue {
+		return
+	}
+	d.gateway.mu.Lock()
+	defer d.gateway.mu.Unlock()
+	d.inPlaceQueue = false
+	d.gateway.limitWaiting[d.request.service.Name]--
+}
+
 // Attempt sends the request to the selected target and relays the answer.
 func (d *delivery) Attempt(ctx context.Context) rtdelivery.AttemptOutcome {
 	sent := time.Now()
@@ -314,7 +351,9 @@
 	defer response.Close()
 	d.gateway.recordResponse(placement.Target.ID)
 	info := d.gateway.dialect.ParseResponse(response.Status, response.Header)
-	d.gateway.recordRateLimit(placement.Target, info)
+	if own := info.Request == d.request.info.ID; own || info.NotRun && response.Status != http.StatusMisdirectedRequest {
+		d.gateway.recordRateLimit(placement.Target, info, own && info.Stamped, sent)
+	}
 	switch {
 	case info.Request != d.request.info.ID && !info.NotRun:
 		return result{outcome: rtdelivery.Lost, detail: "response has the id of another request"}
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -58,6 +58,9 @@
 	// BudgetProcesses returns the number of processes that may use shared
 	// budgets, including this one. It is never less than the true number.
 	BudgetProcesses() int
+	// Share returns the place of this process among those that may send to a
+	// target with a limit, in an order that the key determines.
+	Share(key string) rtlimit.Share
 	// Designated reports whether this process is the one of all live processes
 	// that a key designates.
 	Designated(key string) bool
@@ -95,13 +98,15 @@
 	loads        rtplacement.LoadTracker
 	schedulers   map[rtid.Service]*rtplacement.Scheduler
 	retries      map[rtid.Service]*rtlimit.RetryShare
-	recentSends  map[rtid.Target]*rtlimit.Window // of the last second
+	recentSends  map[rtid.Target]*rtlimit.Window // of the last rtlimit.TargetWindow
 	cellEngines  map[rtid.Service]cellEngines
 	cooldowns    map[rtid.Target]cooldown
 	lastReceived map[rtid.Target]time.Time    // when data of a target was last received
 	checks       map[rtid.Target]*targetCheck // the last one of each target
 	quarantine   rtquarantine.Register
-	rateLimits   map[rtid.Target]rtlimit.Rate // last limit that each target has named
+	rateLimits   rtlimit.TargetLimits
+	limitLogs    map[rtid.Target]limitLog
+	limitWaiting map[rtid.Service]int // requests that wait for a place at a limited target
 }
 
 // New returns a gateway that has not started.
@@ -125,7 +130,8 @@
 		cooldowns:    make(map[rtid.Target]cooldown),
 		lastReceived: make(map[rtid.Target]time.Time),
 		checks:       make(map[rtid.Target]*targetCheck),
-		rateLimits:   make(map[rtid.Target]rtlimit.Rate),
+		limitLogs:    make(map[rtid.Target]limitLog),
+		limitWaiting: make(map[rtid.Service]int),
 	}
 }
 
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -27,6 +27,7 @@
 type scheduled struct {
 	rtplacement.ScheduleResult
 	inFlight *rtplacement.InFlightRequest // must be finished; nil unless the request is sent
+	places   limitPlaces                  // of usable targets that limit their rate
 }
 
 // place decides where the work of a request goes and whether to send it now. It
@@ -36,13 +37,15 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	candidates := g.candidates(view, g.cellInstances(view, q.service), q.service, tried, now)
+	var placed scheduled
+	short := q.service.Engine != nil && work.Interactive()
+	candidates, places := g.candidates(view, g.cellInstances(view, q.service), q.service, tried, short, now)
 	if len(candidates) == 0 {
 		// The cell has no usable target, for example after the loss of its
 		// availability zone.
-		candidates = g.candidates(view, view.Instances(q.service.Name), q.service, tried, now)
+		candidates, places = g.candidates(view, view.Instances(q.service.Name), q.service, tried, short, now)
 	}
-	var placed scheduled
+	placed.places = places
 	var ok bool
 	if q.service.Engine != nil {
 		placed.ScheduleResult, ok = g.schedulerOf(q.service.Name).Decide(q.service.Engine, work, candidates, g.peers.LiveInCell(), now)
@@ -53,6 +56,7 @@
 		return placed, ok
 	}
 	g.recentSendsOf(placed.Target.ID).Add(now)
+	g.rateLimits.Take(placed.Target.Incarnation(), g.peers.Share(limitKey(placed.Target.ID)), now)
 	if placed.PartPrefill >= announcedPart {
 		g.onNews()
 	}
@@ -60,21 +64,31 @@
 	return placed, true
 }
 
-// candidates returns the targets that may receive a request. Targets in
+// candidates returns the targets that may receive a request now. Targets in
 // cooldown are returned only if there are no others, and replaced ones not even
-// then. The caller holds mu.
+// then. It also returns the waits for the targets that only their rate limit keeps
+// out. The caller holds mu.
 func (g *Gateway) candidates(view *rtcatalog.View, instances []*rtcatalog.Instance, service *rtcatalog.Service,
-	tried []rtid.Target, now time.Time) []rtplacement.Candidate {
+	tried []rtid.Target, short bool, now time.Time) ([]rtplacement.Candidate, limitPlaces) {
 	var healthy, coolingDown []rtplacement.Candidate
+	var places limitPlaces
 	for _, instance := range instances {
 		if !view.Usable(instance) || slices.Contains(tried, instance.ID) || !g.withinColdRate(service, instance, now) {
 			continue
 		}
+		wait, limited := g.limitWait(instance, short, now)
+		if wait > 0 {
+			if !now.Before(g.cooldowns[instance.ID].until) {
+				places = append(places, wait)
+			}
+			continue
+		}
 		candidate := rtplacement.Candidate{
 			Instance: instance,
 			Load:     g.loads.Load(instance.ID, now),
 			Hash:     targetHash(instance.ID),
 			TieBreak: rand.Uint32(),
+			Limited:  limited,
 		}
 		if instance.Zone != g.settings.Zone {
 			candidate.RoundTrip = zoneRoundTrip
@@ -89,9 +103,9 @@
 		}
 	}
 	if len(healthy) == 0 {
-		return coolingDown
+		return coolingDown, places
 	}
-	return healthy
+	return healthy, places
 }
 
 // cellEngines caches the instances of a service that belong to the cell of
@@ -127,7 +141,7 @@
 	}
 	limit := coldRateShare * (service.ColdRate*g.bounds.ColdFactor + g.bounds.ColdSlack)
 	localLimit := max(1, int(limit/float64(max(1, g.peers.BudgetProcesses()))))
-	return g.recentSendsOf(instance.ID).Count(now) < localLimit
+	return g.recentSendsOf(instance.ID).CountWithin(time.Second, now) < localLimit
 }
 
 // schedulerOf returns the scheduler of a service. The caller holds mu.
@@ -141,11 +155,11 @@
 }
 
 // recentSendsOf returns the window of requests sent to a target in the last
-// second. The caller holds mu.
+// rtlimit.TargetWindow. The caller holds mu.
 func (g *Gateway) recentSendsOf(target rtid.Target) *rtlimit.Window {
 	window := g.recentSends[target]
 	if window == nil {
-		window = &rtlimit.Window{Span: time.Second}
+		window = &rtlimit.Window{Span: rtlimit.TargetWindow}
 		g.recentSends[target] = window
 	}
 	return window
--- a/internal/rtgateway/ratelimit_test.go
+++ b/internal/rtgateway/ratelimit_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 )
 
 // Bound of the platform on a target that names a rate limit: from limitSettled
@@ -113,3 +116,81 @@
 		})
 	}
 }
+
+// Guards against requests that queue for targets that limit their rate, and against
+// refusals without a time to return: a request that gets no place in time is refused
+// at once, as not run.
+func TestRateLimitRefusesAtOnce(t *testing.T) {
+	withTestbed(t, 2, func(b *testbed) {
+		for _, target := range b.targets {
+			target.set(withLimit("1", answerOK))
+		}
+		b.load("/safe/x", 100*time.Millisecond, time.Second)
+		time.Sleep(limitWindow)
+		var served, refused int
+		for _, got := range b.load("/safe/x", 50*time.Millisecond, 10*time.Second) {
+			switch {
+			case got.status == http.StatusOK:
+				served++
+			case got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "":
+				refused++
+			default:
+				t.Errorf("status %d, headers %v, error %v; want 200, or 503 with Retry-After", got.status, got.header, got.err)
+			}
+			if got.took > 200*time.Millisecond {
+				t.Errorf("status %d after %v, want an answer at once", got.status, got.took)
+			}
+		}
+		if served < 10 || refused == 0 {
+			t.Errorf("%d served and %d refused in 10 s at limits of 2 a second together, want 10 served or more", served, refused)
+		}
+	})
+}
+
+// Guards against a limit that goes on after the target has stopped naming it, and
+// against one that other gateways do not follow because the target has told only
+// one of them.
+func TestRateLimitBeginsAndEnds(t *testing.T) {
+	withTestbed(t, 2, func(b *testbed) {
+		limited := b.targets[0]
+		b.gateway.MergeRateLimits([]rtlimit.Statement{{
+			Target: rtid.TargetIncarnation{ID: limited.id}, Rate: 0.5, Sent: time.Now(), Heard: time.Now(),
+		}})
+		limited.set(withLimit("0.5", answerOK))
+		from := time.Now()
+		b.load("/safe/x", 20*time.Millisecond, 8*time.Second)
+		if got := b.worstWindow(limited, from); got > 8 {
+			t.Errorf("%d requests in %v at the limit of 0.5 a second that a peer reported, want at most 8", got, limitWindow)
+		}
+		if got := b.gateway.LimitedTargets(); len(got) != 1 || got[0].Rate != 0.5 {
+			t.Errorf("limited targets %+v, want one with 0.5 a second", got)
+		}
+		limited.set(answerOK)
+		b.load("/safe/x", 20*time.Millisecond, 8*time.Second)
+		from = time.Now()
+		b.load("/safe/x", 20*time.Millisecond, 4*time.Second)
+		if got := b.worstWindow(limited, from); got < 50 {
+			t.Errorf("%d requests in %v without a limit, want 50 or more", got, limitWindow)
+		}
+		if got := b.logged("Rate limit of a target changed."); len(got) != 2 {
+			t.Errorf("%d log lines for a limit that was named and lifted, want 2: %q", len(got), got)
+		}
+	})
+}
+
+// Guards against a malformed limit that changes the one in force, or that fills the
+// log.
+func TestMalformedRateLimit(t *testing.T) {
+	withTestbed(t, 1, func(b *testbed) {
+		b.targets[0].set(withLimit("5", answerOK))
+		b.call(http.MethodPost, "/safe/x", headers("id-1"), "")
+		b.targets[0].set(withLimit("many", answerOK))
+		b.load("/safe/x", 200*time.Millisecond, 10*time.Second)
+		if got := b.gateway.LimitedTargets(); len(got) != 1 || got[0].Rate != 5 {
+			t.Errorf("limited targets %+v, want one with 5 a second", got)
+		}
+		if got := b.logged("is malformed"); len(got) != 1 {
+			t.Errorf("%d log lines in 10 s, want 1", len(got))
+		}
+	})
+}
--- a/internal/rtgateway/request.go
+++ b/internal/rtgateway/request.go
@@ -53,7 +53,8 @@
 	// RateLimit is the rate limit that the target names, for all gateways
 	// together. It is rtlimit.Unlimited if the response names none.
 	RateLimit rtlimit.Rate
-	// RateLimitErr says why the limit of a response cannot be used.
+	// RateLimitErr says what is wrong with the limit in the response. It cannot be
+	// used then if RateLimit is rtlimit.Unlimited.
 	RateLimitErr error
 }
 
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
@@ -82,7 +83,10 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return rtplacement.PlanReservations(q.service.Engine, q.work, target, g.candidates(view, g.cellInstances(view, q.service), q.service, excluded, now))
+	candidates, _ := g.candidates(view, g.cellInstances(view, q.service), q.service, excluded, false, now)
+	// Commands may count against a rate limit.
+	candidates = slices.DeleteFunc(candidates, func(c rtplacement.Candidate) bool { return c.Limited })
+	return rtplacement.PlanReservations(q.service.Engine, q.work, target, candidates)
 }
 
 // renew starts a task that renews reservations until it is stopped.
@@ -146,12 +150,14 @@
 		message = r.gateway.dialect.Reserve(r.memory.Target.ID, r.ticket, r.memory.Tokens, reservationTTL)
 	}
 	message.Host = string(r.memory.Target.Address)
+	sent := time.Now()
 	response, err := rtexchange.Send(ctx, r.gateway.network, r.memory.Target.Address, message)
 	if err != nil {
 		r.unanswered = r.unanswered || !errors.Is(err, rtexchange.ErrNotSent)
 		return err
 	}
 	defer response.Close()
+	r.gateway.recordRateLimit(r.memory.Target, r.gateway.dialect.ParseResponse(response.Status, response.Header), false, sent)
 	if _, err := response.ReadAll(maxCommandReply, nil); err != nil {
 		r.unanswered = true
 		return err
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -67,7 +67,9 @@
 	}
 	if text := header.Get("Limit"); text != "" {
 		rate, err := strconv.ParseFloat(text, 64)
-		info.RateLimit, info.RateLimitErr = rtlimit.Rate(rate), err
+		if info.RateLimitErr = err; err == nil {
+			info.RateLimit = rtlimit.Rate(rate)
+		}
 	}
 	return info
 }
@@ -184,6 +186,8 @@
 func (noPeers) BudgetProcesses() int   { return 1 }
 func (noPeers) Designated(string) bool { return true }
 
+func (noPeers) Share(string) rtlimit.Share { return rtlimit.Share{Processes: 1} }
+
 // testViews returns the view that the test has published.
 type testViews struct{ b *testbed }
 
--- a/internal/rtid/id.go
+++ b/internal/rtid/id.go
@@ -45,6 +45,13 @@
 	return Incarnation(now.UnixMilli())
 }
 
+// TargetIncarnation identifies one start of a target. A target may start again
+// under the ID that it had.
+type TargetIncarnation struct {
+	ID   Target      `json:"target"`
+	Born Incarnation `json:"born,omitempty"` // 0 if the target does not say when it started
+}
+
 // Epoch numbers the groups of ledger records of one incarnation.
 type Epoch uint32
 
--- a/internal/rtlimit/window.go
+++ b/internal/rtlimit/window.go
@@ -25,6 +25,26 @@
 	return len(w.events)
 }
 
+// CountWithin returns the number of events in the last span, which must not be
+// longer than Span.
+func (w *Window) CountWithin(span time.Duration, now time.Time) int {
+	w.Count(now)
+	count := 0
+	for i := len(w.events) - 1; i >= 0 && now.Sub(w.events[i]) < span; i-- {
+		count++
+	}
+	return count
+}
+
+// waitForRoom returns how long it takes until fewer than limit events are left.
+func (w *Window) waitForRoom(now time.Time, limit int) time.Duration {
+	excess := w.Count(now) - limit
+	if excess < 0 {
+		return 0
+	}
+	return w.events[excess].Add(w.Span).Sub(now)
+}
+
 // RetryShare is one process's share of a retry budget of many processes. In
 // each window it allows a fraction of the process's own requests and an equal
 // part of a fixed allowance. The shares of all processes add up to no more
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -25,6 +25,7 @@
 	Loads      map[rtid.Target]reportedLoad `json:"loads,omitempty"`
 	Cooldowns  map[rtid.Target]int64        `json:"avoid,omitempty"` // remaining cooldown of targets that failed, in ms
 	Evidence   []reportedEvidence           `json:"evidence,omitempty"`
+	Limits     []reportedLimit              `json:"limits,omitempty"` // named by targets to the sender
 }
 
 // reportedLoad is the encoding of a load in a digest: requests, interactive
@@ -124,6 +125,7 @@
 		message.Cooldowns[target] = remaining.Milliseconds()
 	}
 	message.Evidence = g.localEvidence()
+	message.Limits = g.localLimits()
 	return message
 }
 
@@ -191,9 +193,11 @@
 		cooldowns[target] = time.Duration(remaining) * time.Millisecond
 	}
 	g.options.Loads.ApplyPeerCooldowns(cooldowns)
-	if g.recordDelay(message, time.Now()) <= rtquarantine.MaxDelay {
+	delay := g.recordDelay(message, time.Now())
+	if delay <= rtquarantine.MaxDelay {
 		g.mergeEvidence(message.Evidence)
 	}
+	g.mergeLimits(message.Limits, delay)
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -1,6 +1,6 @@
 // Package rtpeer lets the gateways of a deployment discover each other and
-// exchange their loads, cooldowns, evidence against parts of prompts and the
-// revision of their published state.
+// exchange their loads, cooldowns, evidence against parts of prompts, the rate
+// limits that targets have named and the revision of their published state.
 //
 // A process sends a small digest by UDP to the peers that it knows. When a peer
 // reports a higher revision, and the process does not read the store or has not
@@ -22,6 +22,7 @@
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeed"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
@@ -97,6 +98,15 @@
 	MergeObservations(observations []rtquarantine.Observation)
 }
 
+// LimitExchange is the part of a gateway whose knowledge of rate limits of targets
+// peers exchange.
+type LimitExchange interface {
+	// RateLimits returns what targets have said to this process, the newest first.
+	RateLimits() []rtlimit.Statement
+	// MergeRateLimits adds what targets have said to a peer, in any order.
+	MergeRateLimits(statements []rtlimit.Statement)
+}
+
 // Options are the settings and dependencies of a group.
 type Options struct {
 	VM       rtid.VM
@@ -106,6 +116,7 @@
 	Feed     *rtfeed.Feed
 	Loads    LoadExchange
 	Evidence EvidenceExchange // nil for none
+	Limits   LimitExchange    // nil for none
 	Log      logr.Logger
 }
 
@@ -118,12 +129,16 @@
 	newerPeer chan struct{} // capacity 1; signalled when a peer reports a higher revision
 
 	started time.Time
+	// settledAt is when peers know this process, and it knows them. It is later
+	// than the start, and than the end of a pause.
+	settledAt atomic.Pointer[time.Time]
 
 	newPeer atomic.Bool // set when a peer becomes alive, so that the next digest lists the live peers
 
-	mu    sync.Mutex
-	peers map[rtid.Address]*peer
-	cell  rtplacement.Cell
+	mu       sync.Mutex
+	peers    map[rtid.Address]*peer
+	cell     rtplacement.Cell
+	lastTick time.Time // last call of detectPause
 }
 
 // peer is the last reported state of another process.
@@ -149,10 +164,22 @@
 		started:   time.Now(),
 		peers:     make(map[rtid.Address]*peer),
 	}
+	group.unsettle(group.started)
 	group.AddSeeds(options.Seeds)
 	return group
 }
 
+// unsettle records that this process may not know all peers, or they may not know
+// it, for aliveTimeout.
+func (g *Group) unsettle(now time.Time) {
+	settledAt := now.Add(aliveTimeout)
+	g.settledAt.Store(&settledAt)
+}
+
+// settled reports whether this process and its peers have had time to hear of one
+// another.
+func (g *Group) settled(now time.Time) bool { return !now.Before(*g.settledAt.Load()) }
+
 // AddSeeds adds the addresses of peers to send digests to. It keeps those that
 // are known already.
 func (g *Group) AddSeeds(seeds []rtid.Address) {
@@ -197,6 +224,11 @@
 func (g *Group) BudgetProcesses() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.budgetProcesses()
+}
+
+// budgetProcesses is BudgetProcesses for a caller that holds mu.
+func (g *Group) budgetProcesses() int {
 	count := 1
 	for _, p := range g.peers {
 		if p.lastDigest.IsZero() || time.Since(p.lastDigest) < memberTimeout {
@@ -209,6 +241,28 @@
 	return count
 }
 
+// Share returns the place of this process among those that may share something,
+// in an order that the key determines. A process that does not know all peers yet,
+// or that they may have given up, is the last one.
+func (g *Group) Share(key string) rtlimit.Share {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	share := rtlimit.Share{Processes: g.budgetProcesses()}
+	if !g.settled(now) {
+		share.Rank = max(share.Processes, assumedProcesses)
+		share.Processes = share.Rank + 1
+		return share
+	}
+	own := designationHash(key, g.options.VM)
+	for _, p := range g.peers {
+		if p.vm != "" && now.Sub(p.lastDigest) < memberTimeout && designationHash(key, p.vm) < own {
+			share.Rank++
+		}
+	}
+	return share
+}
+
 // Designated reports whether this process is the one of all live processes that
 // a key designates. Processes that are cut off from one another designate one in
 // each part, and one that has just started designates itself for nothing, because
@@ -216,7 +270,7 @@
 func (g *Group) Designated(key string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if time.Since(g.started) < aliveTimeout {
+	if !g.settled(time.Now()) {
 		return false
 	}
 	own := designationHash(key, g.options.VM)
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -27,6 +27,7 @@
 		case <-g.newerPeer:
 		}
 		now := time.Now()
+		g.detectPause(now)
 		g.assignCells(now)
 		reader := g.isReader(now)
 		g.options.Feed.SetReader(reader)
@@ -44,6 +45,18 @@
 	}
 }
 
+// detectPause unsettles the process after a pause in which its peers may have given
+// it up. catchUp calls it at every digestInterval.
+func (g *Group) detectPause(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if paused := now.Sub(g.lastTick); !g.lastTick.IsZero() && paused > aliveTimeout {
+		g.log.Info("Process was paused.", "for", paused.String())
+		g.unsettle(now)
+	}
+	g.lastTick = now
+}
+
 // isReader reports whether this process reads the store: whether it is among the
 // first maxReaders processes of the cell, in the order of a hash that all share.
 // Only processes that the store answers count, so that another one takes the
--- a/internal/rtplacement/place.go
+++ b/internal/rtplacement/place.go
@@ -16,6 +16,7 @@
 	RoundTrip time.Duration // network delay there and back
 	Hash      uint32        // orders engines alike in all processes
 	TieBreak  uint32        // random for each request
+	Limited   bool          // takes this request by its rate limit, but no parts of others
 }
 
 // PoolState is what a placement needs to know of the fleet besides its
@@ -93,7 +94,7 @@
 	if len(candidates) == 0 {
 		return Placement{}, false
 	}
-	sorted := sortedByHash(candidates)
+	sorted := sortedByHash(atMostOneLimited(candidates))
 	border := min(pools.InteractiveEngines, len(sorted))
 	if work.Interactive() {
 		count := partCount(engine, work, interactivePart, len(sorted))
@@ -111,6 +112,33 @@
 	return place(engine, work, long, len(long), count), true
 }
 
+// atMostOneLimited returns the candidates with only the least loaded one of those
+// that limit their rate: a helper would use a place of the limit for a part of a
+// request.
+func atMostOneLimited(candidates []Candidate) []Candidate {
+	best := -1
+	limited := 0
+	for i := range candidates {
+		if !candidates[i].Limited {
+			continue
+		}
+		limited++
+		if best < 0 || candidates[i].Load.Requests < candidates[best].Load.Requests {
+			best = i
+		}
+	}
+	if limited <= 1 {
+		return candidates
+	}
+	var kept []Candidate
+	for i := range candidates {
+		if !candidates[i].Limited || i == best {
+			kept = append(kept, candidates[i])
+		}
+	}
+	return kept
+}
+
 // longPool returns the engines of the long-prompt pool: those behind the
 // interactive engines, or all engines if there are no others. It leaves out
 // blocked engines unless all are blocked.
@@ -199,10 +227,14 @@
 }
 
 // mostFreeMemory returns the index of the candidate with the most free memory.
-// It becomes the target, which holds the prompt and decodes.
+// It becomes the target, which holds the prompt and decodes. A candidate with a
+// rate limit always does.
 func mostFreeMemory(engine *rtcatalog.Engine, chosen []Candidate) int {
 	best := 0
 	for i := range chosen {
+		if chosen[i].Limited {
+			return i // it must not be a helper
+		}
 		if freeMemory(engine, chosen[i]) > freeMemory(engine, chosen[best]) {
 			best = i
 		}
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -290,3 +290,37 @@
 		})
 	}
 }
+
+// Guards against an engine with a rate limit that helps with parts of prompts, which
+// would use up its limit.
+func TestLimitedEnginesDoNotHelp(t *testing.T) {
+	tests := []struct {
+		name    string
+		work    Work
+		limited []int
+	}{
+		{"long prompt, one limited", longWork, []int{3}},
+		{"long prompt, many limited", longWork, []int{1, 3, 5, 7, 9, 11}},
+		{"long prompt, all limited", longWork, []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}},
+		{"short prompt, many limited", shortWork, []int{1, 3, 5, 7, 9, 11}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			engines := idleEngines(12)
+			limited := make(map[rtid.Target]bool)
+			for _, i := range test.limited {
+				engines[i].Limited = true
+				limited[engines[i].Instance.ID] = true
+			}
+			placement, ok := PlaceOnEngines(publishedCosts, test.work, engines, PoolState{InteractiveEngines: 3, Gateways: 1})
+			if !ok {
+				t.Fatal("no placement")
+			}
+			for _, helper := range placement.Helpers {
+				if limited[helper.ID] {
+					t.Errorf("%s has a rate limit and helps %s", helper.ID, placement.Target.ID)
+				}
+			}
+		})
+	}
+}
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -81,6 +81,7 @@
 		Feed:     process.feed,
 		Loads:    process.gateway,
 		Evidence: process.gateway,
+		Limits:   process.gateway,
 		Log:      log,
 	})
 	peers.Group = process.group
@@ -136,6 +137,18 @@
 type stateDump struct {
 	Revision uint64        `json:"revision"`
 	Suspects []suspectDump `json:"suspects"` // most relevant first
+	Limits   []limitDump   `json:"limits"`   // by target
+}
+
+// limitDump is the rate limit that a target has named.
+type limitDump struct {
+	rtid.TargetIncarnation
+	Rate      float64 `json:"rate"`      // requests per second, for all processes together
+	Source    string  `json:"source"`    // target or peer
+	AgeMs     int64   `json:"ageMs"`     // since the target last named it
+	Rank      int     `json:"rank"`      // of this process among those that may send to the target
+	Processes int     `json:"processes"` // that share the limit
+	Sender    bool    `json:"sender"`    // whether this process may send to the target
 }
 
 // suspectDump is the evidence that targets crash on a part of prompts.
@@ -151,7 +164,13 @@
 
 // serveState serves the state dump.
 func (p *gatewayProcess) serveState(w http.ResponseWriter, _ *http.Request) {
-	dump := stateDump{Revision: p.feed.Revision(), Suspects: []suspectDump{}}
+	dump := stateDump{Revision: p.feed.Revision(), Suspects: []suspectDump{}, Limits: []limitDump{}}
+	for _, l := range p.gateway.LimitedTargets() {
+		dump.Limits = append(dump.Limits, limitDump{
+			TargetIncarnation: l.Target, Rate: float64(l.Rate), Source: l.Source.String(), AgeMs: time.Since(l.Heard).Milliseconds(),
+			Rank: l.Share.Rank, Processes: l.Share.Processes, Sender: l.Rate.Sender(l.Share),
+		})
+	}
 	for _, s := range p.gateway.Suspects() {
 		dump.Suspects = append(dump.Suspects, suspectDump{
 			Part: s.Part, Crashes: s.Crashes, First: optionalTime(s.First), Last: optionalTime(s.Last),
