Do not round the parts of a cold target's rate limit up

What callers saw: nothing yet. With more gateways than the limit has requests a second, a cold target could get one from each of them.

Cause: the part of each gateway was rounded up to one request, the same rounding that a named limit must not have.

Change: the remainder of the division goes to the first gateways in an order that the target's ID determines, so that the parts add up to the limit and more of it is used. Without a published factor the rate itself holds.

--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -61,6 +61,9 @@
 	// Share returns the place of this process among those that may send to a
 	// target with a limit, in an order that the key determines.
 	Share(key string) rtlimit.Share
+	// BudgetShare returns the place of this process among those that may use a
+	// budget, of which there are BudgetProcesses.
+	BudgetShare(key string) rtlimit.Share
 	// Designated reports whether this process is the one of all live processes
 	// that a key designates.
 	Designated(key string) bool
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -139,9 +139,19 @@
 	if service.ColdRate <= 0 {
 		return true
 	}
-	limit := coldRateShare * (service.ColdRate*g.bounds.ColdFactor + g.bounds.ColdSlack)
-	localLimit := max(1, int(limit/float64(max(1, g.peers.BudgetProcesses()))))
-	return g.recentSendsOf(instance.ID).CountWithin(time.Second, now) < localLimit
+	factor := g.bounds.ColdFactor
+	if factor <= 0 {
+		factor = 1 // not published
+	}
+	allowed := service.ColdRate*factor + g.bounds.ColdSlack
+	limit := max(int(coldRateShare*allowed), min(1, int(allowed)))
+	sent := g.recentSendsOf(instance.ID).CountWithin(time.Second, now)
+	processes := max(1, g.peers.BudgetProcesses())
+	if limit%processes == 0 || sent != limit/processes {
+		// The rank, which is costly, does not matter.
+		return sent < limit/processes
+	}
+	return sent < g.peers.BudgetShare("cold "+string(instance.ID)).Part(limit)
 }
 
 // schedulerOf returns the scheduler of a service. The caller holds mu.
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -186,7 +186,8 @@
 func (noPeers) BudgetProcesses() int   { return 1 }
 func (noPeers) Designated(string) bool { return true }
 
-func (noPeers) Share(string) rtlimit.Share { return rtlimit.Share{Processes: 1} }
+func (noPeers) Share(string) rtlimit.Share       { return rtlimit.Share{Processes: 1} }
+func (noPeers) BudgetShare(string) rtlimit.Share { return rtlimit.Share{Processes: 1} }
 
 // testViews returns the view that the test has published.
 type testViews struct{ b *testbed }
--- a/internal/rtlimit/targetlimit.go
+++ b/internal/rtlimit/targetlimit.go
@@ -42,6 +42,16 @@
 	Processes int // at least 1
 }
 
+// Part returns the part of a limit of whole requests for the process. The parts of
+// all processes add up to the limit.
+func (s Share) Part(limit int) int {
+	part := limit / max(1, s.Processes)
+	if s.Rank < limit%max(1, s.Processes) {
+		part++
+	}
+	return part
+}
+
 // senders returns how many processes send to a target at a limit. Equal parts of
 // a low limit for many processes would add up to more than the limit, because
 // each process sends whole requests.
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -254,13 +254,34 @@
 		share.Processes = share.Rank + 1
 		return share
 	}
+	share.Rank = g.rank(key, now)
+	return share
+}
+
+// BudgetShare returns the place of this process among BudgetProcesses. During
+// discoveryTime it is the last one.
+func (g *Group) BudgetShare(key string) rtlimit.Share {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	share := rtlimit.Share{Processes: g.budgetProcesses()}
+	share.Rank = share.Processes - 1
+	if time.Since(g.started) >= discoveryTime {
+		share.Rank = g.rank(key, time.Now())
+	}
+	return share
+}
+
+// rank returns how many known processes come before this one in the order that a
+// key determines. The caller holds mu.
+func (g *Group) rank(key string, now time.Time) int {
 	own := designationHash(key, g.options.VM)
+	rank := 0
 	for _, p := range g.peers {
 		if p.vm != "" && now.Sub(p.lastDigest) < memberTimeout && designationHash(key, p.vm) < own {
-			share.Rank++
+			rank++
 		}
 	}
-	return share
+	return rank
 }
 
 // Designated reports whether this process is the one of all live processes that
