Forget what was known of a target that starts again under its ID

What callers saw: nothing yet. A target that started again under its ID was left out for up to 30 s, because another one had had its address, or because its predecessor had failed.

Cause: a target may keep its ID; only the time of its start tells two starts apart, and it was decoded and not used.

Change: the start is part of an instance.

--- a/internal/rtcatalog/catalog.go
+++ b/internal/rtcatalog/catalog.go
@@ -209,13 +209,22 @@
 func newestPerAddress(instances []*Instance) []*Instance {
 	newest := make(map[rtid.Address]*Instance, len(instances))
 	for _, instance := range instances {
-		if other := newest[instance.Address]; other == nil || instance.CreatedRevision > other.CreatedRevision {
+		if other := newest[instance.Address]; other == nil || instance.startedAfter(other) {
 			newest[instance.Address] = instance
 		}
 	}
 	return slices.Collect(maps.Values(newest))
 }
 
+// startedAfter reports whether an instance started later than another one: by the
+// times of their starts if both are known, otherwise by their entries.
+func (i *Instance) startedAfter(other *Instance) bool {
+	if i.Born != 0 && other.Born != 0 && i.Born != other.Born {
+		return i.Born > other.Born
+	}
+	return i.CreatedRevision > other.CreatedRevision
+}
+
 // Instances returns the known targets of a service, including those that are not
 // usable.
 func (v *View) Instances(service rtid.Service) []*Instance { return v.instances[service] }
--- a/internal/rtgateway/cooldown.go
+++ b/internal/rtgateway/cooldown.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
@@ -70,8 +71,25 @@
 	g.log.Info("Target avoided.", "target", target, "reason", reason, "for", time.Until(c.until).String())
 }
 
-// excludeReplaced excludes a target whose address belongs to another one. An
-// incarnation of a target that has ended never comes back.
+// forgetPredecessor deletes the records of a target when another one has started
+// under its ID. Its recent sends stay: they only delay new ones. The caller holds
+// mu.
+func (g *Gateway) forgetPredecessor(instance *rtcatalog.Instance) {
+	born, known := g.born[instance.ID]
+	if known && born == instance.Born {
+		return
+	}
+	g.born[instance.ID] = instance.Born
+	if known {
+		delete(g.cooldowns, instance.ID)
+		delete(g.lastReceived, instance.ID)
+		delete(g.checks, instance.ID)
+		g.log.Info("Target started again under its ID.", "target", instance.ID, "from", born, "to", instance.Born)
+	}
+}
+
+// excludeReplaced excludes a target whose address belongs to another one. It does
+// not come back, unless another one starts under its ID.
 func (g *Gateway) excludeReplaced(target rtid.Target) {
 	g.setCooldown(target, cooldown{until: time.Now().Add(retention), failures: 1, fixed: true, replaced: true}, "another target has the address")
 }
@@ -100,7 +118,9 @@
 	maps.DeleteFunc(g.checks, func(_ rtid.Target, check *targetCheck) bool { return now.Sub(check.started) > retention })
 	maps.DeleteFunc(g.recentSends, func(_ rtid.Target, sends *rtlimit.Window) bool { return sends.Count(now) == 0 })
 	maps.DeleteFunc(g.limitLogs, func(_ rtid.Target, l limitLog) bool { return now.Sub(l.last()) > limitFindingInterval })
-	g.forgetLimits(g.views.View(), now)
+	view := g.views.View()
+	maps.DeleteFunc(g.born, func(target rtid.Target, _ rtid.Incarnation) bool { return view != nil && view.Instance(target) == nil })
+	g.forgetLimits(view, now)
 }
 
 // ApplyPeerCooldowns starts the cooldowns that a peer reports. It skips targets
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -103,6 +103,7 @@
 	retries      map[rtid.Service]*rtlimit.RetryShare
 	recentSends  map[rtid.Target]*rtlimit.Window // of the last rtlimit.TargetWindow
 	cellEngines  map[rtid.Service]cellEngines
+	born         map[rtid.Target]rtid.Incarnation // start of the target that the records below are about
 	cooldowns    map[rtid.Target]cooldown
 	lastReceived map[rtid.Target]time.Time    // when data of a target was last received
 	checks       map[rtid.Target]*targetCheck // the last one of each target
@@ -130,6 +131,7 @@
 		retries:      make(map[rtid.Service]*rtlimit.RetryShare),
 		recentSends:  make(map[rtid.Target]*rtlimit.Window),
 		cellEngines:  make(map[rtid.Service]cellEngines),
+		born:         make(map[rtid.Target]rtid.Incarnation),
 		cooldowns:    make(map[rtid.Target]cooldown),
 		lastReceived: make(map[rtid.Target]time.Time),
 		checks:       make(map[rtid.Target]*targetCheck),
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -73,6 +73,7 @@
 	var healthy, coolingDown []rtplacement.Candidate
 	var places limitPlaces
 	for _, instance := range instances {
+		g.forgetPredecessor(instance)
 		if !view.Usable(instance) || slices.Contains(tried, instance.ID) || !g.withinColdRate(service, instance, now) {
 			continue
 		}
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -115,6 +115,7 @@
 	network *rtfake.Network
 	id      rtid.Target
 	address rtid.Address
+	born    rtid.Incarnation // as published
 
 	mu            sync.Mutex
 	script        script
@@ -263,7 +264,7 @@
 	defer b.mu.Unlock()
 	var instances []*rtcatalog.Instance
 	for _, target := range b.targets {
-		instances = append(instances, &rtcatalog.Instance{ID: target.id, Service: "work", Address: target.address, Zone: "a", Slots: 16})
+		instances = append(instances, &rtcatalog.Instance{ID: target.id, Born: target.born, Service: "work", Address: target.address, Zone: "a", Slots: 16})
 	}
 	b.view = rtcatalog.NewView(uint64(c.Version), c, nil, instances)
 }
