--- a/internal/rtcatalog/catalog.go
+++ b/internal/rtcatalog/catalog.go
@@ -156,7 +156,8 @@
 // Instance is one start of a target: a target that restarts becomes a new
 // instance.
 type Instance struct {
-	ID            rtid.Target // unique to this start
+	ID            rtid.Target
+	Born          rtid.Incarnation // orders starts under one ID; 0 if unknown
 	Service       rtid.Service
 	Address       rtid.Address
 	Zone          rtid.Zone
@@ -168,6 +169,11 @@
 	CreatedRevision uint64
 }
 
+// Incarnation returns the identity of this start of the target.
+func (i *Instance) Incarnation() rtid.TargetIncarnation {
+	return rtid.TargetIncarnation{ID: i.ID, Born: i.Born}
+}
+
 // View is a process's immutable copy of the published state and the known
 // targets, at one revision.
 type View struct {
@@ -203,13 +209,22 @@
 func newestPerAddress(instances []*Instance) []*Instance {
 	newest := make(map[rtid.Address]*Instance, len(instances))
 	for _, instance := range instances {
-		if other := newest[instance.Address]; other == nil || instance.CreatedRevision > other.CreatedRevision {
+		if other := newest[instance.Address]; other == nil || instance.startedAfter(other) {
 			newest[instance.Address] = instance
 		}
 	}
 	return slices.Collect(maps.Values(newest))
 }
 
+// startedAfter reports whether an instance started later than another one: by the
+// times of their starts if both are known, otherwise by their entries.
+func (i *Instance) startedAfter(other *Instance) bool {
+	if i.Born != 0 && other.Born != 0 && i.Born != other.Born {
+		return i.Born > other.Born
+	}
+	return i.CreatedRevision > other.CreatedRevision
+}
+
 // Instances returns the known targets of a service, including those that are not
 // usable.
 func (v *View) Instances(service rtid.Service) []*Instance { return v.instances[service] }
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
@@ -57,12 +58,20 @@
 }
 
 func (testDialect) ParseResponse(status int, header http.Header) ResponseInfo {
-	return ResponseInfo{
-		Request: rtid.Request(header.Get("Id")),
-		Stamped: header.Get("Stamp") != "",
-		NotRun:  header.Get("Notrun") != "" || status == http.StatusMisdirectedRequest,
-		Fault:   header.Get("Fault"),
+	info := ResponseInfo{
+		Request:   rtid.Request(header.Get("Id")),
+		Stamped:   header.Get("Stamp") != "",
+		NotRun:    header.Get("Notrun") != "" || status == http.StatusMisdirectedRequest,
+		Fault:     header.Get("Fault"),
+		RateLimit: rtlimit.Unlimited,
 	}
+	if text := header.Get("Limit"); text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		if info.RateLimitErr = err; err == nil {
+			info.RateLimit = rtlimit.Rate(rate)
+		}
+	}
+	return info
 }
 
 func (testDialect) Reserve(target rtid.Target, ticket string, tokens rtid.Tokens, ttl time.Duration) *rtexchange.Message {
@@ -106,6 +115,7 @@
 	network *rtfake.Network
 	id      rtid.Target
 	address rtid.Address
+	born    rtid.Incarnation // as published
 
 	mu            sync.Mutex
 	script        script
@@ -177,6 +187,9 @@
 func (noPeers) BudgetProcesses() int   { return 1 }
 func (noPeers) Designated(string) bool { return true }
 
+func (noPeers) Share(string) rtlimit.Share       { return rtlimit.Share{Processes: 1} }
+func (noPeers) BudgetShare(string) rtlimit.Share { return rtlimit.Share{Processes: 1} }
+
 // testViews returns the view that the test has published.
 type testViews struct{ b *testbed }
 
@@ -251,7 +264,7 @@
 	defer b.mu.Unlock()
 	var instances []*rtcatalog.Instance
 	for _, target := range b.targets {
-		instances = append(instances, &rtcatalog.Instance{ID: target.id, Service: "work", Address: target.address, Zone: "a", Slots: 16})
+		instances = append(instances, &rtcatalog.Instance{ID: target.id, Born: target.born, Service: "work", Address: target.address, Zone: "a", Slots: 16})
 	}
 	b.view = rtcatalog.NewView(uint64(c.Version), c, nil, instances)
 }
