--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -271,6 +271,7 @@
 	f.recordContact()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.log.Info("Read all items of the store.", "items", len(all), "read", firstRevision, "held", f.state.Revision)
 	f.applyChanges(f.state.Difference(all, firstRevision), firstRevision)
 	f.history.reset(f.state.Revision)
 	return nil
