Order what the store says by its era, then by its revision

Cause: revisions are given out again after a return from a copy, and everything was ordered by the revision alone: items, full reads, watches, histories and peers. Evidence: 65 full reads at revision 28 by gateways that held 29; the next version got 29.

Change: rtid.StoreRevision, era and number, orders all of these. The era is read from the header of each answer, also of a failure, before the body; an answer from a newer era leads to a full read, one from an older era or without any counts as a failed call. Digests carry the era, the version and a hash of what is kept, so that a gateway that starts after the return learns it from its peers.

--- a/internal/rtcatalog/catalog.go
+++ b/internal/rtcatalog/catalog.go
@@ -166,7 +166,7 @@
 	ColdRemaining time.Duration // time until it is warm, as of its report
 	// CreatedRevision is the revision at which the instance was first seen. Of
 	// two instances at one address, the one seen later is kept.
-	CreatedRevision uint64
+	CreatedRevision rtid.StoreRevision
 }
 
 // Incarnation returns the identity of this start of the target.
@@ -177,8 +177,8 @@
 // View is a process's immutable copy of the published state and the known
 // targets, at one revision.
 type View struct {
-	Revision      uint64         // of the newest change in the view
-	Configuration *Configuration // configuration in force; nil until one is known
+	Revision      rtid.StoreRevision // of the newest change in the view
+	Configuration *Configuration     // configuration in force; nil until one is known
 	ZonesOut      map[rtid.Zone]bool
 
 	instances map[rtid.Service][]*Instance
@@ -187,7 +187,7 @@
 
 // NewView returns a view. Of several instances at one address it keeps the
 // newest, and it sorts the instances by ID.
-func NewView(revision uint64, configuration *Configuration, zonesOut map[rtid.Zone]bool, instances []*Instance) *View {
+func NewView(revision rtid.StoreRevision, configuration *Configuration, zonesOut map[rtid.Zone]bool, instances []*Instance) *View {
 	view := &View{
 		Revision:      revision,
 		Configuration: configuration,
@@ -222,7 +222,7 @@
 	if i.Born != 0 && other.Born != 0 && i.Born != other.Born {
 		return i.Born > other.Born
 	}
-	return i.CreatedRevision > other.CreatedRevision
+	return i.CreatedRevision.After(other.CreatedRevision)
 }
 
 // Instances returns the known targets of a service, including those that are not
--- a/internal/rtcatalog/catalog_test.go
+++ b/internal/rtcatalog/catalog_test.go
@@ -15,14 +15,14 @@
 		second Instance
 		want   rtid.Target
 	}{
-		{"later start", Instance{Born: 20, CreatedRevision: 5}, Instance{Born: 10, CreatedRevision: 9}, "first"},
-		{"entry created later", Instance{CreatedRevision: 5}, Instance{CreatedRevision: 9}, "second"},
-		{"one start unknown", Instance{Born: 20, CreatedRevision: 5}, Instance{CreatedRevision: 9}, "second"},
+		{"later start", Instance{Born: 20, CreatedRevision: rtid.StoreRevision{Number: 5}}, Instance{Born: 10, CreatedRevision: rtid.StoreRevision{Number: 9}}, "first"},
+		{"entry created later", Instance{CreatedRevision: rtid.StoreRevision{Number: 5}}, Instance{CreatedRevision: rtid.StoreRevision{Number: 9}}, "second"},
+		{"one start unknown", Instance{Born: 20, CreatedRevision: rtid.StoreRevision{Number: 5}}, Instance{CreatedRevision: rtid.StoreRevision{Number: 9}}, "second"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			test.first.ID, test.second.ID = "first", "second"
-			view := NewView(1, nil, nil, []*Instance{&test.first, &test.second})
+			view := NewView(rtid.StoreRevision{Number: 1}, nil, nil, []*Instance{&test.first, &test.second})
 			if got := view.Instances(""); len(got) != 1 || got[0].ID != test.want {
 				t.Errorf("instances %+v, want only %s", got, test.want)
 			}
--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -2,27 +2,33 @@
 // either from the platform's store or from a peer at a higher revision.
 //
 // All items share one revision counter. Updates from the store and from peers
-// can therefore be ordered, and an older update never replaces a newer one.
+// can therefore be ordered, and an older update never replaces a newer one. When
+// the store comes back from a copy, its counter goes back and a new era begins, which
+// orders before the counter.
 package rtfeed
 
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
 
 // Item is one published value.
 type Item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision uint64 `json:"revision"`          // of the last change
-	Created  uint64 `json:"created,omitempty"` // revision of the creation
+	Key      string             `json:"key"`
+	Value    []byte             `json:"value"`
+	Revision rtid.StoreRevision `json:"revision"` // of the last change
+	Created  rtid.StoreRevision `json:"created"`  // of the creation
 }
 
 // Change is the write or the removal of an item.
@@ -33,6 +39,9 @@
 	// outage may have caused: the time left for the owner to write the item
 	// again. It is 0 for a confirmed removal.
 	ConfirmationTime time.Duration `json:"doubt,omitempty"`
+	// Lacking is set on the removal of an item that a full read lacks, which may have
+	// another cause than its removal from the store.
+	Lacking bool `json:"lacking,omitempty"`
 }
 
 // Errors of a Source.
@@ -44,21 +53,33 @@
 	ErrBusy = errors.New("source is busy and refused the call")
 )
 
-// Source is the platform's store. Each method makes one call.
+var (
+	errNewEra = errors.New("store has come back from a copy")
+	errOldEra = errors.New("store answered from an earlier era")
+)
+
+// Source is the platform's store. Each method makes one call. The era of the
+// returned revision is that of the response, also of one that reports an error; it is
+// 0 if the response names none.
 type Source interface {
 	// Page returns the next page of items, in key order, after the key after,
 	// and the revision at which the store read it.
-	Page(ctx context.Context, after string) (items []Item, more bool, revision uint64, err error)
+	Page(ctx context.Context, after string) (items []Item, more bool, revision rtid.StoreRevision, err error)
 	// Watch returns the changes after the revision after. It returns as soon as
 	// there are any, and without changes when wait has passed.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change, revision uint64, err error)
+	Watch(ctx context.Context, after rtid.StoreRevision, wait time.Duration) (changes []Change, revision rtid.StoreRevision, err error)
 }
 
 // Decoder builds views from items. It logs the items that it cannot decode.
 type Decoder interface {
-	// Leased reports whether the store removes the item when its owner fails to
-	// renew a lease, for example while the owner cannot reach the store.
-	Leased(key string) bool
+	// Kind returns the kind of an item.
+	Kind(key string) Kind
+	// Supersedes reports whether an item may replace one from before the store came
+	// back from a copy: not if it is the older of the two by what they say.
+	Supersedes(item, before Item) bool
+	// Later reports whether an entry is about a later start of a target than another
+	// one.
+	Later(item, other Item) bool
 	// View returns the view of a state. The previous view is nil at the start.
 	View(state State, previous *rtcatalog.View) *rtcatalog.View
 }
@@ -110,13 +131,17 @@
 	failing     bool                          // a call has failed since lastContact
 	recoveredAt time.Time                     // first answer after the last outage
 	unconfirmed map[string]unconfirmedRemoval // by key of the item
+	kept        map[string]keptItem           // by key of the item
+	removals    map[string]removal            // of leased items, by key
+	scope       tally.Scope
 }
 
 // unconfirmedRemoval is a removal that an expired lease may have caused during
 // an outage of the store. The item stays in the state until due.
 type unconfirmedRemoval struct {
-	revision uint64    // of the removal
-	due      time.Time // when the removal is applied
+	revision rtid.StoreRevision // of the removal
+	due      time.Time          // when the removal is applied
+	lacking  bool               // of an item that a full read lacks
 }
 
 // New returns a feed with an empty state. Run reads the store unless SetReader
@@ -128,16 +153,22 @@
 		log:         log.WithName("feed"),
 		changed:     make(chan struct{}, 1),
 		unconfirmed: make(map[string]unconfirmedRemoval),
+		kept:        make(map[string]keptItem),
+		removals:    make(map[string]removal),
+		scope:       tally.NoopScope,
 	}
 	feed.reader.Store(true)
 	return feed
 }
 
+// SetScope sets the scope of the metrics. It must be called before Run.
+func (f *Feed) SetScope(scope tally.Scope) { f.scope = scope }
+
 // SetReader sets whether this process reads the store itself. A process that
 // does not is updated by ApplyPeerDelta only.
 func (f *Feed) SetReader(reader bool) {
 	if f.reader.Swap(reader) != reader {
-		f.log.Info("Reader changed.", "reader", reader, "revision", f.Revision())
+		f.log.Info("Reader changed.", "reader", reader, "revision", f.Revision().String())
 	}
 }
 
@@ -158,22 +189,20 @@
 
 // Delta returns the update for a peer whose state is at the revision after:
 // the changes since then, or all items if the history does not reach that far
-// back.
-func (f *Feed) Delta(after uint64) Delta {
+// back, and what this process keeps in place of items of the store.
+func (f *Feed) Delta(after rtid.StoreRevision) Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delta := Delta{Revision: f.state.Revision}
+	now := time.Now()
+	delta := Delta{Revision: f.state.Revision, Kept: f.keptItems(now)}
 	changes, ok := f.history.since(after)
 	if !ok {
 		delta.Full = true
-		for _, item := range f.state.Items {
-			changes = append(changes, Change{Item: item})
-		}
+		changes = f.storedItems()
 		for key, removal := range f.unconfirmed {
-			changes = append(changes, Change{Item: Item{Key: key, Revision: removal.revision}, Removed: true})
+			changes = append(changes, Change{Item: Item{Key: key, Revision: removal.revision}, Removed: true, Lacking: removal.lacking})
 		}
 	}
-	now := time.Now()
 	for i, change := range changes {
 		if removal, ok := f.unconfirmed[change.Key]; ok && change.Removed && change.Revision == removal.revision {
 			changes[i].ConfirmationTime = max(time.Millisecond, removal.due.Sub(now))
@@ -183,24 +212,52 @@
 	return delta
 }
 
-// ApplyPeerDelta applies a delta received from a peer. A delta that is not at a
-// higher revision than the state has no effect.
+// ApplyPeerDelta applies a delta received from a peer. Of a delta that is not at a
+// higher revision than the state, only what the peer keeps has an effect, and of one
+// from an earlier era only later versions of items that have one.
 func (f *Feed) ApplyPeerDelta(delta Delta, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if delta.Revision <= f.state.Revision {
-		return
+	now := time.Now()
+	before := len(f.kept)
+	kept := delta.Kept
+	switch order := delta.Revision.Compare(f.state.Revision); {
+	case order > 0:
+		f.log.Info("Adopted the state of a peer.", "peer", peer, "from", f.state.Revision.String(), "to", delta.Revision.String(),
+			"changes", len(delta.Changes), "full", delta.Full, "kept", len(delta.Kept))
+		changes := delta.Changes
+		if delta.Full {
+			changes = f.difference(delta.Changes, delta.Revision)
+		}
+		f.applyChanges(changes, delta.Revision)
+		if delta.Full {
+			f.history.reset(f.state.Revision)
+		}
+	case order < 0:
+		kept = f.versionedItems(delta)
 	}
-	f.log.Info("Adopted the state of a peer.", "peer", peer, "from", f.state.Revision, "to", delta.Revision,
-		"changes", len(delta.Changes), "full", delta.Full)
-	changes := delta.Changes
-	if delta.Full {
-		changes = f.state.Difference(delta.Changes, delta.Revision)
+	if f.mergeKept(kept, now) {
+		f.log.Info("Keeping what a peer has from before the return of the store.", "peer", peer, "before", before, "kept", len(f.kept),
+			"from", delta.Revision.String(), "revision", f.state.Revision.String())
+		f.publishView()
 	}
-	f.applyChanges(changes, delta.Revision)
-	if delta.Full {
-		f.history.reset(f.state.Revision)
+	f.recordKept()
+}
+
+// versionedItems returns the items of a delta that have a version.
+func (f *Feed) versionedItems(delta Delta) []KeptItem {
+	var items []KeptItem
+	for _, change := range delta.Changes {
+		if !change.Removed && f.decoder.Kind(change.Key) == KindVersioned {
+			items = append(items, KeptItem{Item: change.Item, Remaining: noEnd})
+		}
+	}
+	for _, kept := range delta.Kept {
+		if f.decoder.Kind(kept.Key) == KindVersioned {
+			items = append(items, kept)
+		}
 	}
+	return items
 }
 
 // Run reads the store until the context ends: all items first, then their
@@ -211,11 +268,11 @@
 	// watches can continue from it.
 	complete := false
 	for ctx.Err() == nil {
-		f.applyDueRemovals(time.Now())
+		f.applyDue(time.Now())
 		if !f.reader.Load() {
 			// A state received from peers serves as a full read of the store:
 			// both hold all changes up to their revision.
-			complete = complete || f.Revision() > 0
+			complete = complete || !f.Revision().IsZero()
 			sleep(ctx, readerCheckInterval)
 			continue
 		}
@@ -232,7 +289,10 @@
 			retryDelay = minRetryDelay
 			sleep(ctx, minWatchInterval-time.Since(started))
 		case errors.Is(err, ErrHistoryGone):
-			f.log.Info("Store no longer keeps the changes after this revision, reading all items.", "revision", f.Revision())
+			f.log.Info("Store no longer keeps the changes after this revision, reading all items.", "revision", f.Revision().String())
+			complete = false
+		case errors.Is(err, errNewEra):
+			f.log.Info("Store has come back from a copy, reading all items.", "error", err.Error(), "revision", f.Revision().String())
 			complete = false
 		default:
 			f.recordFailure(err)
@@ -246,7 +306,7 @@
 // readAll replaces the state by all items of the store.
 func (f *Feed) readAll(ctx context.Context) error {
 	var all []Change
-	var firstRevision uint64
+	var firstRevision rtid.StoreRevision
 	after := ""
 	for {
 		call, cancel := context.WithTimeout(ctx, pageTimeout)
@@ -255,7 +315,10 @@
 		if err != nil {
 			return err
 		}
-		if firstRevision == 0 {
+		if !firstRevision.IsZero() && revision.Era != firstRevision.Era {
+			return fmt.Errorf("page from era %d after one from era %d: %w", revision.Era, firstRevision.Era, errNewEra)
+		}
+		if firstRevision.IsZero() {
 			// The pages are not one snapshot. Watching from the revision of the
 			// first page returns the changes made while the others were read.
 			firstRevision = revision
@@ -268,12 +331,19 @@
 		}
 		after = items[len(items)-1].Key
 	}
+	if known := f.Revision(); firstRevision.Era < known.Era {
+		return fmt.Errorf("read at %v, known is %v: %w", firstRevision, known, errOldEra)
+	}
 	f.recordContact()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.log.Info("Read all items of the store.", "items", len(all), "read", firstRevision, "held", f.state.Revision)
-	f.applyChanges(f.state.Difference(all, firstRevision), firstRevision)
+	if firstRevision.Era < f.state.Revision.Era {
+		return errOldEra // a peer was faster
+	}
+	f.log.Info("Read all items of the store.", "items", len(all), "read", firstRevision.String(), "held", f.state.Revision.String())
+	f.applyChanges(f.difference(all, firstRevision), firstRevision)
 	f.history.reset(f.state.Revision)
+	f.recordKept()
 	return nil
 }
 
@@ -282,66 +352,153 @@
 	wait := f.nextWatchWait(time.Now())
 	call, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
-	changes, revision, err := f.source.Watch(call, f.Revision(), wait)
-	if err != nil {
+	after := f.Revision()
+	changes, revision, err := f.source.Watch(call, after, wait)
+	switch {
+	case revision.Era > after.Era:
+		return fmt.Errorf("watch after %v answered from era %d: %w", after, revision.Era, errNewEra)
+	case err != nil:
 		return err
+	case revision.Era < after.Era:
+		return fmt.Errorf("watch after %v answered from era %d: %w", after, revision.Era, errOldEra)
 	}
 	f.recordContact()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.state.Revision.Era != revision.Era {
+		return nil // a peer was faster; these changes do not continue its state
+	}
 	f.applyChanges(changes, revision)
+	f.recordKept()
 	return nil
 }
 
 // applyChanges applies the changes up to a revision, and publishes a new view if
 // the state changed or has no view yet. Unconfirmed removals are recorded with
-// the time at which they are due. The caller holds mu.
-func (f *Feed) applyChanges(changes []Change, revision uint64) {
+// the time at which they are due. If the revision is of a new era, what this process
+// has from before it is kept where the store has something older. The caller holds
+// mu.
+func (f *Feed) applyChanges(changes []Change, revision rtid.StoreRevision) {
 	changed := false
 	now := time.Now()
+	before := f.state.Revision
+	restored := revision.Era > before.Era && !before.IsZero()
+	if restored {
+		// Targets that started in the lost time are missing until they write again.
+		f.recoveredAt = now
+	}
 	recovering := now.Sub(f.recoveredAt) < leaseRecoveryTime
 	for _, change := range changes {
-		uncertain := change.ConfirmationTime > 0 || recovering && f.decoder.Leased(change.Key)
+		if kept, ok := f.kept[change.Key]; ok {
+			if kept.stored != nil && !change.Revision.After(kept.stored.Revision) {
+				continue
+			}
+			f.history.add(change)
+			if f.applyToKept(kept, change, now) {
+				f.follow(change, now)
+				changed = true
+			}
+			continue
+		}
+		if kept, ok := f.keepFrom(change, now); ok {
+			f.history.add(change)
+			f.keep(kept)
+			delete(f.unconfirmed, change.Key)
+			continue
+		}
+		uncertain := change.ConfirmationTime > 0 || recovering && f.decoder.Kind(change.Key) == KindLeased
 		if change.Removed && uncertain && f.state.Has(change.Key) {
 			if _, recorded := f.unconfirmed[change.Key]; !recorded {
 				due := f.recoveredAt.Add(leaseRecoveryTime)
 				if change.ConfirmationTime > 0 {
 					due = now.Add(change.ConfirmationTime)
 				}
-				f.unconfirmed[change.Key] = unconfirmedRemoval{revision: change.Revision, due: due}
+				f.unconfirmed[change.Key] = unconfirmedRemoval{revision: change.Revision, due: due, lacking: change.Lacking}
 			}
 			f.history.add(change)
 			continue
 		}
-		if f.state.Apply(change) {
+		left := !change.Lacking || f.state.Items[change.Key].Revision.Era == change.Revision.Era
+		if f.apply(change, left, now) {
 			changed = true
 			delete(f.unconfirmed, change.Key)
 			f.history.add(change)
 		}
 	}
-	f.state.Revision = max(f.state.Revision, revision)
+	if revision.After(f.state.Revision) {
+		f.state.Revision = revision
+	}
+	if restored {
+		f.logRestore(before)
+	}
 	if changed || f.view.Load() == nil {
 		f.publishView()
 	}
 }
 
-// applyDueRemovals applies the unconfirmed removals whose time is over. A reader
-// whose calls fail keeps them pending, because it cannot see whether the owner
-// has written the item again.
-func (f *Feed) applyDueRemovals(now time.Time) {
+// apply applies a change to the state. If left is set, the removal of a leased item
+// is remembered: its owner has left, and is not alive and late. The caller holds mu.
+func (f *Feed) apply(change Change, left bool, now time.Time) bool {
+	last, had := f.state.Items[change.Key]
+	if !f.state.Apply(change) {
+		return false
+	}
+	if change.Removed && left && had && f.decoder.Kind(change.Key) == KindLeased {
+		f.removals[change.Key] = removal{last: last, at: now}
+	}
+	return true
+}
+
+// follow applies a change in place of an item that was kept. The caller holds mu.
+func (f *Feed) follow(change Change, now time.Time) {
+	f.endKept(change.Key)
+	if change.Removed {
+		f.apply(change, true, now)
+		return
+	}
+	f.state.set(change.Item)
+}
+
+// logRestore logs and counts a return of the store from a copy. The caller holds mu.
+func (f *Feed) logRestore(before rtid.StoreRevision) {
+	var keys []string
+	for key, kept := range f.kept {
+		keys = append(keys, key+"@"+kept.item.Revision.String())
+	}
+	slices.Sort(keys)
+	const maxLoggedKeys = 20
+	f.log.Info("Following the store in its new era.", "from", before.String(), "to", f.state.Revision.String(),
+		"kept", len(keys), "items", keys[:min(len(keys), maxLoggedKeys)], "unconfirmed", len(f.unconfirmed))
+	f.scope.Counter("store_returns").Inc(1)
+}
+
+// recordKept updates the metrics about the store. The caller holds mu.
+func (f *Feed) recordKept() {
+	f.scope.Gauge("store_era").Update(float64(f.state.Revision.Era))
+	f.scope.Gauge("kept_items").Update(float64(len(f.kept)))
+}
+
+// applyDue ends what is kept and applies the unconfirmed removals whose time is
+// over. A reader whose calls fail keeps them pending, because it cannot see whether
+// the owner has written the item again.
+func (f *Feed) applyDue(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	changed := false
+	if f.reader.Load() && f.failing {
+		return
+	}
+	changed := f.applyDueKept(now)
 	for key, removal := range f.unconfirmed {
-		if now.Before(removal.due) || f.reader.Load() && f.failing {
+		if now.Before(removal.due) {
 			continue
 		}
-		f.log.Info("Target has not come back with the store.", "key", key, "revision", removal.revision)
+		f.log.Info("Target has not come back with the store.", "key", key, "revision", removal.revision.String())
 		delete(f.unconfirmed, key)
-		f.state.Apply(Change{Item: Item{Key: key, Revision: removal.revision}, Removed: true})
+		f.apply(Change{Item: Item{Key: key, Revision: removal.revision}, Removed: true}, !removal.lacking, now)
 		changed = true
 	}
 	if changed {
+		f.recordKept()
 		f.publishView()
 	}
 }
@@ -363,13 +520,13 @@
 	now := time.Now()
 	if f.failing && !f.lastContact.IsZero() && now.Sub(f.lastContact) > outageThreshold {
 		f.recoveredAt = now
-		f.log.Info("Store answers again.", "silence", now.Sub(f.lastContact).String(), "revision", f.state.Revision)
+		f.log.Info("Store answers again.", "silence", now.Sub(f.lastContact).String(), "revision", f.state.Revision.String())
 	}
 	f.lastContact, f.failing = now, false
 }
 
 // nextWatchWait returns the wait of the next watch. The watch ends when an
-// unconfirmed removal is due. While calls fail it is as short as possible, so
+// unconfirmed removal or the end of a kept item is due. While calls fail it is as short as possible, so
 // that the end of the outage is detected without delay.
 func (f *Feed) nextWatchWait(now time.Time) time.Duration {
 	f.mu.Lock()
@@ -381,6 +538,11 @@
 	for _, removal := range f.unconfirmed {
 		wait = min(wait, removal.due.Sub(now))
 	}
+	for _, kept := range f.kept {
+		if !kept.until.IsZero() {
+			wait = min(wait, kept.until.Sub(now))
+		}
+	}
 	return max(wait, probeWait)
 }
 
@@ -390,13 +552,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.failing {
-		f.log.Info("Store lost.", "error", err.Error(), "revision", f.state.Revision)
+		f.log.Info("Store lost.", "error", err.Error(), "revision", f.state.Revision.String())
 	}
 	f.failing = true
 }
 
 // Revision returns the revision of the state: it includes all changes up to it.
-func (f *Feed) Revision() uint64 {
+func (f *Feed) Revision() rtid.StoreRevision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state.Revision
--- a/internal/rtfeed/feed_test.go
+++ b/internal/rtfeed/feed_test.go
@@ -23,7 +23,18 @@
 // keyDecoder makes a target of each item. Keys with the prefix t are leased.
 type keyDecoder struct{}
 
-func (keyDecoder) Leased(key string) bool { return strings.HasPrefix(key, "t") }
+func (keyDecoder) Kind(key string) Kind {
+	if strings.HasPrefix(key, "t") {
+		return KindLeased
+	}
+	return KindOther
+}
+
+func (keyDecoder) Supersedes(_, _ Item) bool { return true }
+func (keyDecoder) Later(_, _ Item) bool      { return false }
+
+// number returns a revision of the only era of the tests.
+func number(n uint64) rtid.StoreRevision { return rtid.StoreRevision{Number: n} }
 
 func (keyDecoder) View(state State, _ *rtcatalog.View) *rtcatalog.View {
 	var instances []*rtcatalog.Instance
@@ -55,7 +66,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	item := Item{Key: key, Value: []byte(value), Revision: s.revision}
+	item := Item{Key: key, Value: []byte(value), Revision: number(s.revision)}
 	s.items[key] = item
 	s.record(Change{Item: item})
 }
@@ -65,7 +76,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	delete(s.items, key)
-	s.record(Change{Item: Item{Key: key, Revision: s.revision}, Removed: true})
+	s.record(Change{Item: Item{Key: key, Revision: number(s.revision)}, Removed: true})
 }
 
 func (s *fakeStore) record(change Change) {
@@ -100,7 +111,7 @@
 func (s *fakeStore) keysAt(revision uint64) string {
 	held := make(map[string]bool)
 	for _, change := range s.all {
-		if change.Revision <= revision {
+		if change.Revision.Number <= revision {
 			held[change.Key] = true
 			if change.Removed {
 				delete(held, change.Key)
@@ -112,12 +123,12 @@
 
 const fakePageSize = 2
 
-func (s *fakeStore) Page(_ context.Context, after string) ([]Item, bool, uint64, error) {
+func (s *fakeStore) Page(_ context.Context, after string) ([]Item, bool, rtid.StoreRevision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, false, 0, ErrBusy
+		return nil, false, rtid.StoreRevision{}, ErrBusy
 	}
 	keys := slices.Sorted(maps.Keys(s.items))
 	keys = slices.DeleteFunc(keys, func(key string) bool { return key <= after })
@@ -126,10 +137,10 @@
 	for _, key := range keys[:min(len(keys), fakePageSize)] {
 		items = append(items, s.items[key])
 	}
-	return items, more, s.revision, nil
+	return items, more, number(s.revision), nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, after rtid.StoreRevision, wait time.Duration) ([]Change, rtid.StoreRevision, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -138,25 +149,25 @@
 		down, floor, at, changed := s.down, s.floor, s.revision, s.changed
 		var changes []Change
 		for _, change := range s.changes {
-			if change.Revision > after {
+			if change.Revision.After(after) {
 				changes = append(changes, change)
 			}
 		}
 		s.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, errors.New("refused")
-		case after < floor:
-			return nil, 0, ErrHistoryGone
+			return nil, rtid.StoreRevision{}, errors.New("refused")
+		case after.Number < floor:
+			return nil, rtid.StoreRevision{}, ErrHistoryGone
 		case len(changes) > 0 || s.noWait:
-			return changes, at, nil
+			return changes, number(at), nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, at, nil
+			return nil, number(at), nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, rtid.StoreRevision{}, ctx.Err()
 		}
 	}
 }
@@ -306,12 +317,12 @@
 		change Change
 		want   string // value of the item; "none" if there is none
 	}{
-		{Change{Item: Item{Key: "config", Value: []byte("v7"), Revision: 7}}, "v7"},
-		{Change{Item: Item{Key: "config", Value: []byte("v6"), Revision: 6}}, "v7"},
-		{Change{Item: Item{Key: "config", Revision: 5}, Removed: true}, "v7"},
-		{Change{Item: Item{Key: "config", Value: []byte("v7"), Revision: 7}}, "v7"},
-		{Change{Item: Item{Key: "config", Value: []byte("v8"), Revision: 8}}, "v8"},
-		{Change{Item: Item{Key: "config", Revision: 9}, Removed: true}, "none"},
+		{Change{Item: Item{Key: "config", Value: []byte("v7"), Revision: number(7)}}, "v7"},
+		{Change{Item: Item{Key: "config", Value: []byte("v6"), Revision: number(6)}}, "v7"},
+		{Change{Item: Item{Key: "config", Revision: number(5)}, Removed: true}, "v7"},
+		{Change{Item: Item{Key: "config", Value: []byte("v7"), Revision: number(7)}}, "v7"},
+		{Change{Item: Item{Key: "config", Value: []byte("v8"), Revision: number(8)}}, "v8"},
+		{Change{Item: Item{Key: "config", Revision: number(9)}, Removed: true}, "none"},
 	}
 	for i, step := range steps {
 		state.Apply(step.change)
@@ -329,13 +340,13 @@
 // lower revision, such as a peer that was partitioned or paused.
 func TestOlderState(t *testing.T) {
 	feed := New(newFakeStore(), keyDecoder{}, logr.Discard())
-	item := Change{Item: Item{Key: "t1", Revision: 3}}
-	feed.ApplyPeerDelta(Delta{Revision: 3, Full: true, Changes: []Change{item}}, "peer")
-	feed.ApplyPeerDelta(Delta{Revision: 4, Changes: []Change{{Item: Item{Key: "t1", Revision: 4}, Removed: true}}}, "peer")
+	item := Change{Item: Item{Key: "t1", Revision: number(3)}}
+	feed.ApplyPeerDelta(Delta{Revision: number(3), Full: true, Changes: []Change{item}}, "peer")
+	feed.ApplyPeerDelta(Delta{Revision: number(4), Changes: []Change{{Item: Item{Key: "t1", Revision: number(4)}, Removed: true}}}, "peer")
 	for _, full := range []bool{true, false} {
-		feed.ApplyPeerDelta(Delta{Revision: 3, Full: full, Changes: []Change{item}}, "late peer")
-		if got := keys(feed); got != "" || feed.Revision() != 4 {
-			t.Errorf("items %q at revision %d after an older delta, want none at 4", got, feed.Revision())
+		feed.ApplyPeerDelta(Delta{Revision: number(3), Full: full, Changes: []Change{item}}, "late peer")
+		if got := keys(feed); got != "" || feed.Revision() != number(4) {
+			t.Errorf("items %q at revision %v after an older delta, want none at 4", got, feed.Revision())
 		}
 	}
 }
@@ -366,7 +377,7 @@
 			case 3:
 				store.dropHistory()
 			case 4:
-				if feeds[i].Revision() == 0 || feeds[i].watch(t.Context()) != nil {
+				if feeds[i].Revision().IsZero() || feeds[i].watch(t.Context()) != nil {
 					if err := feeds[i].readAll(t.Context()); err != nil {
 						t.Fatal(err)
 					}
@@ -374,12 +385,12 @@
 			case 5:
 				feeds[i].ApplyPeerDelta(feeds[j].Delta(feeds[i].Revision()), "peer")
 			}
-			if feeds[i].Revision() < before {
-				t.Fatalf("revision decreased from %d to %d", before, feeds[i].Revision())
+			if before.After(feeds[i].Revision()) {
+				t.Fatalf("revision decreased from %v to %v", before, feeds[i].Revision())
 			}
 			for _, feed := range feeds {
-				if want := store.keysAt(feed.Revision()); want != keys(feed) {
-					t.Fatalf("at revision %d: items %q, store had %q", feed.Revision(), keys(feed), want)
+				if want := store.keysAt(feed.Revision().Number); want != keys(feed) {
+					t.Fatalf("at revision %v: items %q, store had %q", feed.Revision(), keys(feed), want)
 				}
 			}
 		}
--- a/internal/rtgateway/crashbed_test.go
+++ b/internal/rtgateway/crashbed_test.go
@@ -126,7 +126,7 @@
 			ID: target.id, Service: "work", Address: target.address, Zone: zoneOf(i), Slots: 16,
 		})
 	}
-	s.view = rtcatalog.NewView(s.view.Revision+1, s.view.Configuration, nil, instances)
+	s.view = rtcatalog.NewView(rtid.StoreRevision{Number: s.view.Revision.Number + 1}, s.view.Configuration, nil, instances)
 }
 
 func zoneOf(i int) rtid.Zone { return rtid.Zone([]string{"a", "b", "c"}[i*crashZones/crashTargets]) }
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -318,7 +318,7 @@
 		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(),
 		"backlog", s.LongPool.PrefillBacklog.String(),
 		"outcome", r.outcome.String(), "detail", r.detail, "begun", d.headWritten,
-		"first", r.firstEvent.String(), "pause", r.longestGap.String(), "revision", d.request.view.Revision,
+		"first", r.firstEvent.String(), "pause", r.longestGap.String(), "revision", d.request.view.Revision.String(),
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String())
 	tags := map[string]string{"outcome": r.outcome.String()}
 	d.gateway.metrics.Scope.Tagged(tags).Counter("sends").Inc(1)
--- a/internal/rtgateway/gateway_test.go
+++ b/internal/rtgateway/gateway_test.go
@@ -175,7 +175,7 @@
 		{"earlier incarnation published beside the later one", func(b *testbed, instances []*rtcatalog.Instance, _ map[rtid.Zone]bool) {
 			instances[0].ID = "earlier"
 			instances[0].Address = b.targets[1].address
-			instances[1].CreatedRevision = 7
+			instances[1].CreatedRevision.Number = 7
 		}},
 	}
 	for _, test := range tests {
@@ -188,7 +188,7 @@
 				zonesOut := make(map[rtid.Zone]bool)
 				test.change(b, instances, zonesOut)
 				b.mu.Lock()
-				b.view = rtcatalog.NewView(2, b.view.Configuration, zonesOut, instances)
+				b.view = rtcatalog.NewView(rtid.StoreRevision{Number: 2}, b.view.Configuration, zonesOut, instances)
 				b.mu.Unlock()
 				for i := range 20 {
 					got := b.call(http.MethodPost, "/order/x", headers(fmt.Sprint("id-", i)), "")
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -266,7 +266,7 @@
 	for _, target := range b.targets {
 		instances = append(instances, &rtcatalog.Instance{ID: target.id, Born: target.born, Service: "work", Address: target.address, Zone: "a", Slots: 16})
 	}
-	b.view = rtcatalog.NewView(uint64(c.Version), c, nil, instances)
+	b.view = rtcatalog.NewView(rtid.StoreRevision{Number: uint64(c.Version)}, c, nil, instances)
 }
 
 // addTarget starts a target that answers every request.
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
@@ -15,12 +16,14 @@
 
 // digest is the message that a process sends to its peers.
 type digest struct {
-	VM         rtid.VM                      `json:"vm"`
-	Address    rtid.Address                 `json:"address"`
-	Start      rtid.Incarnation             `json:"start"`
-	Sent       int64                        `json:"sent"` // time since Start, in ms
-	Revision   uint64                       `json:"revision"`
-	ContactAge int64                        `json:"age"` // time since the last response from the store, in ms; unknownAge for none
+	VM      rtid.VM          `json:"vm"`
+	Address rtid.Address     `json:"address"`
+	Start   rtid.Incarnation `json:"start"`
+	Sent    int64            `json:"sent"` // time since Start, in ms
+	rtid.StoreRevision
+	Version    rtid.Version                 `json:"version,omitempty"` // of the configuration in force
+	Kept       uint64                       `json:"kept,omitempty"`    // identifies what is kept in place of items of the store; 0 for nothing
+	ContactAge int64                        `json:"age"`               // time since the last response from the store, in ms; unknownAge for none
 	Peers      []rtid.Address               `json:"peers,omitempty"`
 	Loads      map[rtid.Target]reportedLoad `json:"loads,omitempty"`
 	Cooldowns  map[rtid.Target]int64        `json:"avoid,omitempty"` // remaining cooldown of targets that failed, in ms
@@ -75,6 +78,14 @@
 	}
 }
 
+// versionOf returns the version of the configuration in force, or 0.
+func versionOf(view *rtcatalog.View) rtid.Version {
+	if view == nil || view.Configuration == nil {
+		return 0
+	}
+	return view.Configuration.Version
+}
+
 // forOtherCells returns the digest without what concerns the targets of the cell.
 func (d digest) forOtherCells() digest {
 	d.Loads, d.Cooldowns = nil, nil
@@ -108,7 +119,9 @@
 		Loads:   make(map[rtid.Target]reportedLoad),
 	}
 	if view := g.options.Feed.View(); view != nil {
-		message.Revision = g.options.Feed.Revision()
+		message.StoreRevision = g.options.Feed.Revision()
+		message.Version = versionOf(view)
+		message.Kept = g.options.Feed.KeptHash()
 	}
 	for target, load := range g.options.Loads.LocalLoads() {
 		message.Loads[target] = newReportedLoad(load)
@@ -209,7 +222,8 @@
 		g.addPeer(address)
 	}
 	now := time.Now()
-	p.vm, p.lastDigest, p.revision, p.storeContact = message.VM, now, message.Revision, time.Time{}
+	p.vm, p.lastDigest, p.revision, p.storeContact = message.VM, now, message.StoreRevision, time.Time{}
+	p.version, p.kept = message.Version, message.Kept
 	if message.ContactAge != unknownAge {
 		p.storeContact = now.Add(-time.Duration(message.ContactAge) * time.Millisecond)
 	}
@@ -220,12 +234,12 @@
 		g.log.Info("Peer heard.", "peer", p.vm, "address", message.Address)
 	}
 	switch {
-	case p.revision <= ownRevision:
+	case !p.revision.After(ownRevision):
 		p.aheadSince = time.Time{}
 	case p.aheadSince.IsZero():
 		p.aheadSince = now
 	}
-	if p.revision > ownRevision {
+	if p.revision.After(ownRevision) {
 		signal(g.newerPeer)
 	}
 }
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -52,6 +52,9 @@
 	// catchUpDelay is how long a reader waits for the store to return the
 	// changes that a peer has, before it fetches them from that peer.
 	catchUpDelay = 500 * time.Millisecond
+	// keptFetchInterval is the shortest time between two fetches from a peer of what
+	// it keeps in place of items of the store.
+	keptFetchInterval = 500 * time.Millisecond
 	// fetchTimeout is the timeout of fetching the state of a peer.
 	fetchTimeout = 1500 * time.Millisecond
 	// maxDigestBytes is the size limit of a digest.
@@ -145,9 +148,12 @@
 type peer struct {
 	vm           rtid.VM // empty until its first digest
 	lastDigest   time.Time
-	revision     uint64
-	storeContact time.Time // last response from the store that it reported; zero for none
-	aheadSince   time.Time // since when its revision is above the own one; zero if it is not
+	revision     rtid.StoreRevision
+	version      rtid.Version // of its configuration
+	kept         uint64       // identifies what it keeps in place of items of the store; 0 for nothing
+	keptFetched  time.Time    // when that was last fetched
+	storeContact time.Time    // last response from the store that it reported; zero for none
+	aheadSince   time.Time    // since when its revision is above the own one; zero if it is not
 	delays       delayEstimate
 	loggedAlive  bool // the last log line about it says that it is alive
 	otherCell    bool // belongs to another cell
--- a/internal/rtpeer/peer_test.go
+++ b/internal/rtpeer/peer_test.go
@@ -23,18 +23,20 @@
 // unavailableSource is a store that refuses all calls.
 type unavailableSource struct{}
 
-func (unavailableSource) Page(context.Context, string) ([]rtfeed.Item, bool, uint64, error) {
-	return nil, false, 0, rtfeed.ErrBusy
+func (unavailableSource) Page(context.Context, string) ([]rtfeed.Item, bool, rtid.StoreRevision, error) {
+	return nil, false, rtid.StoreRevision{}, rtfeed.ErrBusy
 }
 
-func (unavailableSource) Watch(context.Context, uint64, time.Duration) ([]rtfeed.Change, uint64, error) {
-	return nil, 0, rtfeed.ErrBusy
+func (unavailableSource) Watch(context.Context, rtid.StoreRevision, time.Duration) ([]rtfeed.Change, rtid.StoreRevision, error) {
+	return nil, rtid.StoreRevision{}, rtfeed.ErrBusy
 }
 
 // emptyDecoder makes views without items.
 type emptyDecoder struct{}
 
-func (emptyDecoder) Leased(string) bool { return false }
+func (emptyDecoder) Kind(string) rtfeed.Kind          { return rtfeed.KindOther }
+func (emptyDecoder) Supersedes(_, _ rtfeed.Item) bool { return true }
+func (emptyDecoder) Later(_, _ rtfeed.Item) bool      { return false }
 
 func (emptyDecoder) View(state rtfeed.State, _ *rtcatalog.View) *rtcatalog.View {
 	return rtcatalog.NewView(state.Revision, nil, nil, nil)
@@ -71,7 +73,7 @@
 // digestFrom returns a digest of process i. The age is that of its last response
 // from the store, in milliseconds.
 func digestFrom(i int, revision uint64, age int64, peers ...rtid.Address) digest {
-	return digest{VM: rtid.VM(fmt.Sprint("vm", i)), Address: addressOf(i), Revision: revision, ContactAge: age, Peers: peers}
+	return digest{VM: rtid.VM(fmt.Sprint("vm", i)), Address: addressOf(i), StoreRevision: rtid.StoreRevision{Number: revision}, ContactAge: age, Peers: peers}
 }
 
 // Guards against shares of a budget that add up to more than the budget. Each
@@ -160,7 +162,7 @@
 		if got := newerPeer(true); got != addressOf(1) {
 			t.Errorf("process at revision 0: fetches from %q, want the peer at revision 5 without delay", got)
 		}
-		g.options.Feed.ApplyPeerDelta(rtfeed.Delta{Revision: 5}, "peer")
+		g.options.Feed.ApplyPeerDelta(rtfeed.Delta{Revision: rtid.StoreRevision{Number: 5}}, "peer")
 		g.applyDigest(digestFrom(1, 6, 0))
 		g.applyDigest(digestFrom(2, 7, 0))
 		if got := newerPeer(true); got != "" {
@@ -204,8 +206,8 @@
 // malformed requests of peers that are answered with a state.
 func TestServeState(t *testing.T) {
 	g, _ := newTestGroup()
-	item := rtfeed.Item{Key: "a", Value: []byte("x"), Revision: 4}
-	g.options.Feed.ApplyPeerDelta(rtfeed.Delta{Revision: 4, Full: true, Changes: []rtfeed.Change{{Item: item}}}, "peer")
+	item := rtfeed.Item{Key: "a", Value: []byte("x"), Revision: rtid.StoreRevision{Number: 4}}
+	g.options.Feed.ApplyPeerDelta(rtfeed.Delta{Revision: rtid.StoreRevision{Number: 4}, Full: true, Changes: []rtfeed.Change{{Item: item}}}, "peer")
 	tests := []struct {
 		query  string
 		status int
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -32,10 +32,16 @@
 		reader := g.isReader(now)
 		g.options.Feed.SetReader(reader)
 		address, ok := g.findNewerPeer(reader)
+		after := g.options.Feed.Revision()
+		if !ok {
+			// All items, so that they hold the ones that have a version.
+			after = rtid.StoreRevision{}
+			address, ok = g.findKeepingPeer(now)
+		}
 		if !ok {
 			continue
 		}
-		delta, err := g.fetchState(ctx, address)
+		delta, err := g.fetchState(ctx, address, after)
 		if err != nil {
 			g.log.Info("State cannot be fetched from a peer.", "peer", address, "error", err.Error())
 			g.resetRevision(address)
@@ -82,7 +88,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p := g.peers[address]; p != nil {
-		p.revision = 0
+		p.revision, p.version, p.kept = rtid.StoreRevision{}, 0, 0
 	}
 }
 
@@ -101,24 +107,45 @@
 			p.loggedAlive = false
 			g.log.Info("Peer is silent.", "peer", p.vm, "address", address)
 		}
-		if silent || p.revision <= ownRevision {
+		if silent || !p.revision.After(ownRevision) {
 			continue
 		}
-		if reader && ownRevision > 0 && (p.aheadSince.IsZero() || time.Since(p.aheadSince) < catchUpDelay) {
+		if reader && !ownRevision.IsZero() && (p.aheadSince.IsZero() || time.Since(p.aheadSince) < catchUpDelay) {
 			continue
 		}
-		if best == "" || p.revision > g.peers[best].revision {
+		if best == "" || p.revision.After(g.peers[best].revision) {
 			best = address
 		}
 	}
 	return best, best != ""
 }
 
-// fetchState fetches the changes of a peer's state after the own revision.
-func (g *Group) fetchState(ctx context.Context, address rtid.Address) (rtfeed.Delta, error) {
+// findKeepingPeer returns a live peer that may know something from before the store
+// came back from a copy which this process does not know, because it has started
+// since: a later version of the configuration, or other items that it keeps.
+func (g *Group) findKeepingPeer(now time.Time) (rtid.Address, bool) {
+	feed := g.options.Feed
+	ownRevision, ownVersion, ownKept := feed.Revision(), versionOf(feed.View()), feed.KeptHash()
+	if ownRevision.IsZero() {
+		return "", false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for address, p := range g.peers {
+		keeps := p.kept != 0 && p.kept != ownKept && p.revision == ownRevision
+		if now.Sub(p.lastDigest) < p.aliveTimeout() && now.Sub(p.keptFetched) >= keptFetchInterval && (keeps || p.version > ownVersion) {
+			p.keptFetched = now
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// fetchState fetches the changes of a peer's state after a revision.
+func (g *Group) fetchState(ctx context.Context, address rtid.Address, after rtid.StoreRevision) (rtfeed.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/state?after=%d", address, g.options.Feed.Revision())
+	url := fmt.Sprintf("http://%s/state?era=%d&after=%d", address, after.Era, after.Number)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return rtfeed.Delta{}, fmt.Errorf("create request: %w", err)
@@ -138,10 +165,17 @@
 
 // serveState answers a peer with the changes after the revision that it names.
 func (g *Group) serveState(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
-		return
+	var after rtid.StoreRevision
+	for name, value := range map[string]*uint64{"after": &after.Number, "era": &after.Era} {
+		if name == "era" && !r.URL.Query().Has(name) {
+			continue // from a gateway that knows no eras
+		}
+		number, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+		if err != nil {
+			http.Error(w, name+": "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		*value = number
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(g.options.Feed.Delta(after)); err != nil {
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -63,6 +63,7 @@
 	network := &rtnet.TCP{}
 	process := &gatewayProcess{path: path, settings: settings, sighups: sighups, log: log, metrics: metrics}
 	process.feed = rtfeed.New(platform.NewStore(network, settings.StoreAddress), platform.NewItems(log), log)
+	process.feed.SetScope(metrics.Scope)
 	peers := &deferredGroup{}
 	process.gateway = rtgateway.New(settings.Gateway, rtgateway.Dependencies{
 		Network: network,
@@ -135,9 +136,10 @@
 
 // stateDump is the state of a gateway that operators may read.
 type stateDump struct {
-	Revision uint64        `json:"revision"`
-	Suspects []suspectDump `json:"suspects"` // most relevant first
-	Limits   []limitDump   `json:"limits"`   // by target
+	rtid.StoreRevision
+	Kept     map[string]rtid.StoreRevision `json:"kept"`     // items from before the store came back from a copy, by key
+	Suspects []suspectDump                 `json:"suspects"` // most relevant first
+	Limits   []limitDump                   `json:"limits"`   // by target
 }
 
 // limitDump is the rate limit that a target has named.
@@ -164,7 +166,7 @@
 
 // serveState serves the state dump.
 func (p *gatewayProcess) serveState(w http.ResponseWriter, _ *http.Request) {
-	dump := stateDump{Revision: p.feed.Revision(), Suspects: []suspectDump{}, Limits: []limitDump{}}
+	dump := stateDump{StoreRevision: p.feed.Revision(), Kept: p.feed.KeptKeys(), Suspects: []suspectDump{}, Limits: []limitDump{}}
 	for _, l := range p.gateway.LimitedTargets() {
 		dump.Limits = append(dump.Limits, limitDump{
 			TargetIncarnation: l.Target, Rate: float64(l.Rate), Source: l.Source.String(), AgeMs: time.Since(l.Heard).Milliseconds(),
