Do not take back a leave that a peer has not followed yet

What callers saw: nothing. In the model a target that a process had seen leave was used again, for up to 2.2 s, when a peer that still waited for the confirmation of the same removal sent its whole state.

Cause: an item that the state lacks was added whatever its revision.

Change: the removal of an entry is remembered with the entry's last revision, and an older write does not bring it back. applyChanges is split by decision.

--- a/cmd/rhubarbtally-fake/main_test.go
+++ b/cmd/rhubarbtally-fake/main_test.go
@@ -9,10 +9,13 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttarget"
+	"github.com/rhubarbtally/rhubarbtally/platform"
 )
 
 // start runs the program until the test ends, and returns its address.
@@ -79,6 +82,48 @@
 	}
 }
 
+// Guards against a stand-in of the users' store that does not write the items of its
+// file, or that comes back from a copy without another era.
+func TestStore(t *testing.T) {
+	items := filepath.Join(t.TempDir(), "items")
+	writeFile(t, items, `{"op/config":{"version":1}}`)
+	address := start(t, "-kind", "store", "-items", items)
+	store := platform.NewStore(&rtnet.TCP{}, address)
+	watch := func(after rtid.StoreRevision) rtid.StoreRevision {
+		changes, revision, err := store.Watch(t.Context(), after, 5*time.Second)
+		if err != nil || len(changes) != 1 {
+			t.Fatalf("changes %+v, error %v, want one change", changes, err)
+		}
+		return revision
+	}
+	first := watch(rtid.StoreRevision{})
+	writeFile(t, items, `{"op/config":{"version":2}}`)
+	second := watch(first)
+	response, err := http.Post("http://"+string(address)+"/restore?age=0s", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := response.Body.Close(); err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("restore: status %d, error %v", response.StatusCode, err)
+	}
+	if _, _, revision, err := store.Page(t.Context(), ""); err != nil || revision.Era != second.Era+1 {
+		t.Errorf("after the return at %v, error %v, want era %d", revision, err, second.Era+1)
+	}
+}
+
+// Guards against a stand-in of a target that does not name its limit.
+func TestTarget(t *testing.T) {
+	address := start(t, "-kind", "target", "-id", "i-1", "-limit", "1.5")
+	response, err := http.Get("http://" + string(address) + "/safe/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if info := (platform.Headers{}).ParseResponse(response.StatusCode, response.Header); info.RateLimit != 1.5 || !info.Stamped {
+		t.Errorf("response %+v, want a limit of 1.5", info)
+	}
+}
+
 // Guards against exit status 0 after a usage error.
 func TestUsage(t *testing.T) {
 	if got := run(t.Context(), []string{"-kind", "other"}, io.Discard, t.Output()); got != exitFailed {
--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -387,42 +387,9 @@
 		// Targets that started in the lost time are missing until they write again.
 		f.recoveredAt = now
 	}
-	recovering := now.Sub(f.recoveredAt) < leaseRecoveryTime
 	for _, change := range changes {
-		if kept, ok := f.kept[change.Key]; ok {
-			if kept.stored != nil && !change.Revision.After(kept.stored.Revision) {
-				continue
-			}
-			f.history.add(change)
-			if f.applyToKept(kept, change, now) {
-				f.follow(change, now)
-				changed = true
-			}
-			continue
-		}
-		if kept, ok := f.keepFrom(change, now); ok {
-			f.history.add(change)
-			f.keep(kept)
-			delete(f.unconfirmed, change.Key)
-			continue
-		}
-		uncertain := change.ConfirmationTime > 0 || recovering && f.decoder.Kind(change.Key) == KindLeased
-		if change.Removed && uncertain && f.state.Has(change.Key) {
-			if _, recorded := f.unconfirmed[change.Key]; !recorded {
-				due := f.recoveredAt.Add(leaseRecoveryTime)
-				if change.ConfirmationTime > 0 {
-					due = now.Add(change.ConfirmationTime)
-				}
-				f.unconfirmed[change.Key] = unconfirmedRemoval{revision: change.Revision, due: due, lacking: change.Lacking}
-			}
-			f.history.add(change)
-			continue
-		}
-		left := !change.Lacking || f.state.Items[change.Key].Revision.Era == change.Revision.Era
-		if f.apply(change, left, now) {
+		if f.applyChange(change, now) {
 			changed = true
-			delete(f.unconfirmed, change.Key)
-			f.history.add(change)
 		}
 	}
 	if revision.After(f.state.Revision) {
@@ -436,6 +403,56 @@
 	}
 }
 
+// applyChange applies one change, and reports whether that has changed the items. The
+// caller holds mu.
+func (f *Feed) applyChange(change Change, now time.Time) bool {
+	if gone, ok := f.removals[change.Key]; ok && !change.Removed && !change.Revision.After(gone.last.Revision) {
+		return false // a peer has not removed it yet
+	}
+	if kept, ok := f.kept[change.Key]; ok {
+		if kept.stored != nil && !change.Revision.After(kept.stored.Revision) {
+			return false
+		}
+		f.history.add(change)
+		if !f.applyToKept(kept, change, now) {
+			return false
+		}
+		f.follow(change, now)
+		return true
+	}
+	if kept, ok := f.keepFrom(change, now); ok {
+		f.history.add(change)
+		f.keep(kept)
+		delete(f.unconfirmed, change.Key)
+		return false
+	}
+	if change.Removed && f.uncertain(change, now) && f.state.Has(change.Key) {
+		if _, recorded := f.unconfirmed[change.Key]; !recorded {
+			due := f.recoveredAt.Add(leaseRecoveryTime)
+			if change.ConfirmationTime > 0 {
+				due = now.Add(change.ConfirmationTime)
+			}
+			f.unconfirmed[change.Key] = unconfirmedRemoval{revision: change.Revision, due: due, lacking: change.Lacking}
+		}
+		f.history.add(change)
+		return false
+	}
+	left := !change.Lacking || f.state.Items[change.Key].Revision.Era == change.Revision.Era
+	if !f.apply(change, left, now) {
+		return false
+	}
+	delete(f.unconfirmed, change.Key)
+	f.history.add(change)
+	return true
+}
+
+// uncertain reports whether a lease that expired during an outage may have caused a
+// removal. The caller holds mu.
+func (f *Feed) uncertain(change Change, now time.Time) bool {
+	recovering := now.Sub(f.recoveredAt) < leaseRecoveryTime
+	return change.ConfirmationTime > 0 || recovering && f.decoder.Kind(change.Key) == KindLeased
+}
+
 // apply applies a change to the state. If left is set, the removal of a leased item
 // is remembered: its owner has left, and is not alive and late. The caller holds mu.
 func (f *Feed) apply(change Change, left bool, now time.Time) bool {
