Follow what targets announce in their answers

A target that leaves says so in every answer (Server-Leaving: 1), and one that refuses with 503 may ask for a pause (Retry-After). The gateway passed both on and read neither, so it sent to a leaving target until the store said so, and into pauses.

Ruled out: marking a target as draining in the view. A store, a peer or a copy that still says ready would take it back; a leave belongs to one start of the target and lasts as long as that.

A request that finds only targets which want a pause is refused at once, with a delay to the end of the first pause, spread.

Gateways exchange leaves in digests (64 at most, only those that the sender still has published as usable; TestLeavesReachPeers), so that one which has restarted learns them. Pauses are a wish to one gateway and are not passed on. The state dump, metrics and log lines show both; the stand-in target and rhubarbtally-fake can play them.

--- a/cmd/rhubarbtally-fake/main.go
+++ b/cmd/rhubarbtally-fake/main.go
@@ -47,6 +47,8 @@
 	items    string
 	id       string
 	limit    string
+	leaving  bool
+	backoff  string
 }
 
 func main() {
@@ -90,6 +92,8 @@
 	flags.StringVar(&o.items, "items", "", "store: `FILE` with an object of keys and values, written after each change; POST /restore?age=5s brings back a copy of that age")
 	flags.StringVar(&o.id, "id", "", "target: `ID` that callers must expect")
 	flags.StringVar(&o.limit, "limit", "", "target: `RATE` limit that answers name, in requests per second")
+	flags.BoolVar(&o.leaving, "leaving", false, "target: answers say that it is leaving")
+	flags.StringVar(&o.backoff, "retryafter", "", "target: refuse requests as not run with this `VALUE` of Retry-After")
 	fencing := flags.Bool("fencing", false, "engine and service: reject outdated fencing numbers")
 	if err := ff.Parse(flags, args); err != nil {
 		return o, err
@@ -142,6 +146,8 @@
 	case "target":
 		target := &rtstandin.Target{ID: o.id, RunDuration: o.service.RunDuration}
 		target.SetLimit(o.limit)
+		target.SetLeaving(o.leaving)
+		target.SetRetryAfter(o.backoff)
 		return target, noBackground, nil
 	default:
 		return nil, nil, fmt.Errorf("-kind %q: want platform, engine, service, weights, store or target", o.kind)
--- a/cmd/rhubarbtally-fake/main_test.go
+++ b/cmd/rhubarbtally-fake/main_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtgateway"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplatform"
@@ -111,16 +112,21 @@
 	}
 }
 
-// Guards against a stand-in of a target that does not name its limit.
+// Guards against a stand-in of a target that does not announce what its flags say.
 func TestTarget(t *testing.T) {
-	address := start(t, "-kind", "target", "-id", "i-1", "-limit", "1.5")
-	response, err := http.Get("http://" + string(address) + "/safe/x")
-	if err != nil {
-		t.Fatal(err)
+	get := func(address rtid.Address) rtgateway.ResponseInfo {
+		response, err := http.Get("http://" + string(address) + "/safe/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		return platform.Headers{}.ParseResponse(response.StatusCode, response.Header)
+	}
+	if info := get(start(t, "-kind", "target", "-id", "i-1", "-limit", "1.5", "-leaving")); info.RateLimit != 1.5 || !info.Stamped || !info.Leaving {
+		t.Errorf("response %+v, want a limit of 1.5, and that the target is leaving", info)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if info := (platform.Headers{}).ParseResponse(response.StatusCode, response.Header); info.RateLimit != 1.5 || !info.Stamped {
-		t.Errorf("response %+v, want a limit of 1.5", info)
+	if info := get(start(t, "-kind", "target", "-retryafter", "2.5")); !info.NotRun || info.Backoff != 2500*time.Millisecond || info.Leaving {
+		t.Errorf("response %+v, want a refusal that asks for a pause of 2.5 s", info)
 	}
 }
 
--- a/internal/rtgateway/cooldown.go
+++ b/internal/rtgateway/cooldown.go
@@ -121,6 +121,7 @@
 	view := g.views.View()
 	maps.DeleteFunc(g.born, func(target rtid.Target, _ rtid.Incarnation) bool { return view != nil && view.Instance(target) == nil })
 	g.forgetLimits(view, now)
+	g.forgetNotices(view, now)
 }
 
 // ApplyPeerCooldowns starts the cooldowns that a peer reports. It skips targets
--- a/internal/rtgateway/crash.go
+++ b/internal/rtgateway/crash.go
@@ -48,6 +48,10 @@
 	}
 	now := time.Now()
 	g.mu.Lock()
+	if g.leaves.Leaving(target.Incarnation()) {
+		g.mu.Unlock()
+		return false
+	}
 	check := g.checks[target.ID]
 	started := check == nil || now.Sub(check.started) >= checkReuse
 	if started {
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -154,6 +154,10 @@
 		work.Waited, work.Begun = time.Since(d.waitingSince()), d.headWritten
 		candidate, ok := d.gateway.place(q, work, d.tried)
 		if !ok {
+			if candidate.backoff > 0 && !d.headWritten {
+				d.refusal = d.giveUpAfter(reasonBackoff, backoffDelay(candidate.backoff, d.maxRetryDelay()))
+				return false
+			}
 			remaining := d.noTargetTimeout() - work.Waited
 			if len(candidate.places) > 0 && !d.waitForPlace(candidate.places, remaining) {
 				d.refusal = d.giveUpAfter(reasonRateLimit, candidate.places.retryAfter())
@@ -294,12 +298,14 @@
 		}
 		return &refusal{status: http.StatusBadGateway, reason: reason}
 	default:
-		// The retry delay is at most a third of the remaining time, so that a
-		// retry can succeed.
-		return notRun(reason, min(d.gateway.retryAfter(delay), time.Until(d.request.deadline)/3))
+		return notRun(reason, min(d.gateway.retryAfter(delay), d.maxRetryDelay()))
 	}
 }
 
+// maxRetryDelay is the longest retry delay that the caller observes: a third of its
+// remaining time, so that a retry can succeed.
+func (d *delivery) maxRetryDelay() time.Duration { return time.Until(d.request.deadline) / 3 }
+
 // breakOff closes the connection of a caller whose response has begun. The head
 // says success, so only a broken connection shows that the rest is missing.
 func (d *delivery) breakOff(reason string) {
@@ -343,6 +349,13 @@
 	if renewal := d.renew(reserved); renewal != nil {
 		defer func() { _ = renewal.Stop() }() // it logs its errors itself
 	}
+	if len(reserved) > 0 {
+		// Reserving memory takes some time, in which a target may have announced that
+		// it takes no requests.
+		if instance := d.gateway.withdrawn(placement); instance != nil {
+			return result{outcome: rtdelivery.NotSent, detail: "target or helper " + string(instance.ID) + " takes no requests any more"}
+		}
+	}
 	sent := time.Now()
 	response, err := rtexchange.Send(ctx, d.gateway.network, placement.Target.Address, d.targetMessage(placement, reserved))
 	if err != nil {
@@ -351,6 +364,7 @@
 	defer response.Close()
 	d.gateway.recordResponse(placement.Target.ID)
 	info := d.gateway.dialect.ParseResponse(response.Status, response.Header)
+	d.gateway.recordNotices(placement.Target, response.Status, info)
 	if own := info.Request == d.request.info.ID; own || info.NotRun && response.Status != http.StatusMisdirectedRequest {
 		d.gateway.recordRateLimit(placement.Target, info, own && info.Stamped, sent)
 	}
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtnotice"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
 )
@@ -111,6 +112,10 @@
 	rateLimits   rtlimit.TargetLimits
 	limitLogs    map[rtid.Target]limitLog
 	limitWaiting map[rtid.Service]int // requests that wait for a place at a limited target
+	leaves       rtnotice.Leaves
+	backoffs     rtnotice.Backoffs
+
+	noticeFindings, backoffLogs lineLimiter
 }
 
 // New returns a gateway that has not started.
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -28,6 +28,9 @@
 	rtplacement.ScheduleResult
 	inFlight *rtplacement.InFlightRequest // must be finished; nil unless the request is sent
 	places   limitPlaces                  // of usable targets that limit their rate
+	// backoff is the time until the first target takes requests again, if there are
+	// only targets that want none; 0 if one of the others may become usable.
+	backoff time.Duration
 }
 
 // place decides where the work of a request goes and whether to send it now. It
@@ -39,13 +42,16 @@
 	defer g.mu.Unlock()
 	var placed scheduled
 	short := q.service.Engine != nil && work.Interactive()
-	candidates, places := g.candidates(view, g.cellInstances(view, q.service), q.service, tried, short, now)
+	candidates, kept := g.candidates(view, g.cellInstances(view, q.service), q.service, tried, short, now)
 	if len(candidates) == 0 {
 		// The cell has no usable target, for example after the loss of its
 		// availability zone.
-		candidates, places = g.candidates(view, view.Instances(q.service.Name), q.service, tried, short, now)
+		candidates, kept = g.candidates(view, view.Instances(q.service.Name), q.service, tried, short, now)
+	}
+	placed.places = kept.places
+	if len(candidates) == 0 && !kept.other {
+		placed.backoff = kept.backoff
 	}
-	placed.places = places
 	var ok bool
 	if q.service.Engine != nil {
 		placed.ScheduleResult, ok = g.schedulerOf(q.service.Name).Decide(q.service.Engine, work, candidates, g.peers.LiveInCell(), now)
@@ -64,23 +70,44 @@
 	return placed, true
 }
 
+// keptOut says what keeps usable targets of a service from a request for now.
+type keptOut struct {
+	places  limitPlaces   // waits for the targets that only their rate limit keeps out
+	backoff time.Duration // until the first target takes requests that wants none; 0 for no such target
+	other   bool          // some are kept out by something else that passes soon
+}
+
 // candidates returns the targets that may receive a request now. Targets in
-// cooldown are returned only if there are no others, and replaced ones not even
-// then. It also returns the waits for the targets that only their rate limit keeps
-// out. The caller holds mu.
+// cooldown are returned only if there are no others. Targets that have been replaced,
+// that are leaving or that want no requests are not returned even then. It also
+// returns what keeps the others out. The caller holds mu.
 func (g *Gateway) candidates(view *rtcatalog.View, instances []*rtcatalog.Instance, service *rtcatalog.Service,
-	tried []rtid.Target, short bool, now time.Time) ([]rtplacement.Candidate, limitPlaces) {
+	tried []rtid.Target, short bool, now time.Time) ([]rtplacement.Candidate, keptOut) {
 	var healthy, coolingDown []rtplacement.Candidate
-	var places limitPlaces
+	var kept keptOut
 	for _, instance := range instances {
 		g.forgetPredecessor(instance)
-		if !view.Usable(instance) || slices.Contains(tried, instance.ID) || !g.withinColdRate(service, instance, now) {
+		if !view.Usable(instance) || g.leaves.Leaving(instance.Incarnation()) {
+			continue
+		}
+		if backoff := g.backoffs.Remaining(instance.Incarnation(), now); backoff > 0 {
+			if kept.backoff == 0 || backoff < kept.backoff {
+				kept.backoff = backoff
+			}
+			continue
+		}
+		if slices.Contains(tried, instance.ID) {
+			continue
+		}
+		if !g.withinColdRate(service, instance, now) {
+			kept.other = true
 			continue
 		}
 		wait, limited := g.limitWait(instance, short, now)
 		if wait > 0 {
+			kept.other = true
 			if !now.Before(g.cooldowns[instance.ID].until) {
-				places = append(places, wait)
+				kept.places = append(kept.places, wait)
 			}
 			continue
 		}
@@ -104,9 +131,9 @@
 		}
 	}
 	if len(healthy) == 0 {
-		return coolingDown, places
+		return coolingDown, kept
 	}
-	return healthy, places
+	return healthy, kept
 }
 
 // cellEngines caches the instances of a service that belong to the cell of
--- a/internal/rtgateway/ratelimit_test.go
+++ b/internal/rtgateway/ratelimit_test.go
@@ -25,22 +25,25 @@
 )
 
 // withLimit returns a script that names a rate limit in the answer of another one.
-func withLimit(rate string, s script) script {
-	return func(c net.Conn, r *run) { s(&limitConn{Conn: c, rate: rate}, r) }
+func withLimit(rate string, s script) script { return withHeader("Limit", rate, s) }
+
+// withHeader returns a script that adds a header to the answer of another one.
+func withHeader(name, value string, s script) script {
+	return func(c net.Conn, r *run) { s(&headerConn{Conn: c, line: name + ": " + value + "\r\n"}, r) }
 }
 
-// limitConn adds the header of a rate limit to the response that is written.
-type limitConn struct {
+// headerConn adds a header line to the response that is written.
+type headerConn struct {
 	net.Conn
-	rate  string
+	line  string
 	begun bool
 }
 
-func (c *limitConn) Write(data []byte) (int, error) {
+func (c *headerConn) Write(data []byte) (int, error) {
 	text := string(data)
 	if !c.begun {
 		c.begun = true
-		text = strings.Replace(text, "\r\n", "\r\nLimit: "+c.rate+"\r\n", 1)
+		text = strings.Replace(text, "\r\n", "\r\n"+c.line, 1)
 	}
 	if _, err := c.Conn.Write([]byte(text)); err != nil {
 		return 0, err
--- a/internal/rtgateway/request.go
+++ b/internal/rtgateway/request.go
@@ -50,6 +50,16 @@
 	Stamped bool         // the response was created by a target
 	NotRun  bool         // the target has not run the request and never will
 	Fault   string       // ID or address of the target at fault; empty if none is named
+	// Instance is the target that made the response; empty if it does not say.
+	Instance rtid.Target
+	// Leaving says that the target which made the response is leaving, and LeavingErr
+	// what is wrong with the header that should say so.
+	Leaving    bool
+	LeavingErr error
+	// Backoff is how long the target wants no requests from this process; 0 for no
+	// such wish. BackoffErr says what is wrong with the wish in the response.
+	Backoff    time.Duration
+	BackoffErr error
 	// RateLimit is the rate limit that the target names, for all gateways
 	// together. It is rtlimit.Unlimited if the response names none.
 	RateLimit rtlimit.Rate
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -157,7 +157,9 @@
 		return err
 	}
 	defer response.Close()
-	r.gateway.recordRateLimit(r.memory.Target, r.gateway.dialect.ParseResponse(response.Status, response.Header), false, sent)
+	info := r.gateway.dialect.ParseResponse(response.Status, response.Header)
+	r.gateway.recordRateLimit(r.memory.Target, info, false, sent)
+	r.gateway.recordNotices(r.memory.Target, response.Status, info)
 	if _, err := response.ReadAll(maxCommandReply, nil); err != nil {
 		r.unanswered = true
 		return err
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -65,6 +65,11 @@
 		Fault:     header.Get("Fault"),
 		RateLimit: rtlimit.Unlimited,
 	}
+	info.Instance = rtid.Target(header.Get("Answered-By"))
+	info.Leaving = header.Get("Leaving") == "1"
+	if text := header.Get("Backoff"); text != "" && status == http.StatusServiceUnavailable {
+		info.Backoff, info.BackoffErr = time.ParseDuration(text)
+	}
 	if text := header.Get("Limit"); text != "" {
 		rate, err := strconv.ParseFloat(text, 64)
 		if info.RateLimitErr = err; err == nil {
@@ -121,6 +126,7 @@
 	script        script
 	commands      []string
 	commandStatus func(command string) int // reply to a memory command; nil for 200
+	commandHeader string                   // lines that replies to memory commands have
 }
 
 func (t *target) set(s script) {
@@ -323,6 +329,7 @@
 		if target.commandStatus != nil {
 			status = target.commandStatus(command)
 		}
+		header := target.commandHeader
 		target.mu.Unlock()
 		switch status {
 		case noAnswer:
@@ -334,7 +341,7 @@
 			repeatText(func(*run) string { return "HTTP/1.1 200 x\r\n\r\n" }, long, 0)(c, nil)
 			return
 		}
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n", status)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%sContent-Length: 0\r\n\r\n", status, header)
 		return
 	}
 	target.mu.Unlock()
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -28,7 +28,8 @@
 	Loads      map[rtid.Target]reportedLoad `json:"loads,omitempty"`
 	Cooldowns  map[rtid.Target]int64        `json:"avoid,omitempty"` // remaining cooldown of targets that failed, in ms
 	Evidence   []reportedEvidence           `json:"evidence,omitempty"`
-	Limits     []reportedLimit              `json:"limits,omitempty"` // named by targets to the sender
+	Limits     []reportedLimit              `json:"limits,omitempty"`  // named by targets to the sender
+	Leaving    []rtid.TargetIncarnation     `json:"leaving,omitempty"` // at most maxReportedLeaves
 }
 
 // reportedLoad is the encoding of a load in a digest: requests, interactive
@@ -139,6 +140,7 @@
 	}
 	message.Evidence = g.localEvidence()
 	message.Limits = g.localLimits()
+	message.Leaving = g.localLeaves()
 	return message
 }
 
@@ -211,6 +213,7 @@
 		g.mergeEvidence(message.Evidence)
 	}
 	g.mergeLimits(message.Limits, delay)
+	g.mergeLeaves(message.Leaving)
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -1,6 +1,7 @@
 // Package rtpeer lets the gateways of a deployment discover each other and
 // exchange their loads, cooldowns, evidence against parts of prompts, the rate
-// limits that targets have named and the revision of their published state.
+// limits that targets have named, the targets that are leaving and the revision of
+// their published state.
 //
 // A process sends a small digest by UDP to the peers that it knows. When a peer
 // reports a higher revision, and the process does not read the store or has not
@@ -110,6 +111,16 @@
 	MergeRateLimits(statements []rtlimit.Statement)
 }
 
+// LeaveExchange is the part of a gateway whose knowledge of leaving targets peers
+// exchange.
+type LeaveExchange interface {
+	// LeavesToReport returns the starts of targets that have announced that they are
+	// leaving and that peers may still take for usable, the newest first.
+	LeavesToReport() []rtid.TargetIncarnation
+	// MergeLeaves adds what a peer knows. What is known already has no effect.
+	MergeLeaves(targets []rtid.TargetIncarnation)
+}
+
 // Options are the settings and dependencies of a group.
 type Options struct {
 	VM       rtid.VM
@@ -120,6 +131,7 @@
 	Loads    LoadExchange
 	Evidence EvidenceExchange // nil for none
 	Limits   LimitExchange    // nil for none
+	Leaves   LeaveExchange    // nil for none
 	Log      logr.Logger
 }
 
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -83,6 +83,7 @@
 		Loads:    process.gateway,
 		Evidence: process.gateway,
 		Limits:   process.gateway,
+		Leaves:   process.gateway,
 		Log:      log,
 	})
 	peers.Group = process.group
@@ -140,6 +141,21 @@
 	Kept     map[string]rtid.StoreRevision `json:"kept"`     // items from before the store came back from a copy, by key
 	Suspects []suspectDump                 `json:"suspects"` // most relevant first
 	Limits   []limitDump                   `json:"limits"`   // by target
+	Leaving  []leaveDump                   `json:"leaving"`  // the newest first
+	Backoffs []backoffDump                 `json:"backoffs"` // the first to end first
+}
+
+// leaveDump is a target that has announced that it is leaving.
+type leaveDump struct {
+	rtid.TargetIncarnation
+	Source string `json:"source"` // target or peer
+	AgeMs  int64  `json:"ageMs"`  // since this process first heard it
+}
+
+// backoffDump is a target that wants no requests from this process.
+type backoffDump struct {
+	rtid.TargetIncarnation
+	RemainingMs int64 `json:"remainingMs"`
 }
 
 // limitDump is the rate limit that a target has named.
@@ -166,7 +182,16 @@
 
 // serveState serves the state dump.
 func (p *gatewayProcess) serveState(w http.ResponseWriter, _ *http.Request) {
-	dump := stateDump{StoreRevision: p.feed.Revision(), Kept: p.feed.KeptKeys(), Suspects: []suspectDump{}, Limits: []limitDump{}}
+	dump := stateDump{StoreRevision: p.feed.Revision(), Kept: p.feed.KeptKeys(), Suspects: []suspectDump{}, Limits: []limitDump{},
+		Leaving: []leaveDump{}, Backoffs: []backoffDump{}}
+	for _, l := range p.gateway.Leaves() {
+		dump.Leaving = append(dump.Leaving, leaveDump{
+			TargetIncarnation: l.Target, Source: l.Source.String(), AgeMs: time.Since(l.Heard).Milliseconds(),
+		})
+	}
+	for _, b := range p.gateway.Backoffs() {
+		dump.Backoffs = append(dump.Backoffs, backoffDump{TargetIncarnation: b.Target, RemainingMs: time.Until(b.Until).Milliseconds()})
+	}
 	for _, l := range p.gateway.LimitedTargets() {
 		dump.Limits = append(dump.Limits, limitDump{
 			TargetIncarnation: l.Target, Rate: float64(l.Rate), Source: l.Source.String(), AgeMs: time.Since(l.Heard).Milliseconds(),
