Do not take an answer to another request for a refusal of this one

Cause: send accepted any response that says "not run", also one that names another request. A server that writes an earlier refusal once more made the gateway tell its caller "not run" for a request that was running, or send it to a second target. A memory command accepted any reply with status 200.

Ruled out: connections that are used again; each attempt and each command has a connection of its own, so a second copy of an answer can meet another request only if the target itself confuses them.

Change: a response with the ID of another request says nothing about this one: the outcome is lost. One without an ID counts only if it says that the request has not run, as refusals of servers and of other servers at the address do: the connection has carried this request alone. A reply to a memory command that has the ID of a request counts as no reply, and the release is repeated.

TestCommandRepliesOfRequests failed, passes.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -365,12 +365,16 @@
 	d.gateway.recordResponse(placement.Target.ID)
 	info := d.gateway.dialect.ParseResponse(response.Status, response.Header)
 	d.gateway.recordNotices(placement.Target, response.Status, info)
-	if own := info.Request == d.request.info.ID; own || info.NotRun && response.Status != http.StatusMisdirectedRequest {
+	own := info.Request == d.request.info.ID
+	if own || info.NotRun && response.Status != http.StatusMisdirectedRequest {
 		d.gateway.recordRateLimit(placement.Target, info, own && info.Stamped, sent)
 	}
 	switch {
-	case info.Request != d.request.info.ID && !info.NotRun:
-		return result{outcome: rtdelivery.Lost, detail: "response has the id of another request"}
+	case !own && info.Request != "":
+		// Also a refusal says nothing about this request, which may be running.
+		return result{outcome: rtdelivery.Lost, detail: fmt.Sprintf("response with status %d has the id of another request", response.Status)}
+	case !own && !info.NotRun:
+		return result{outcome: rtdelivery.Lost, detail: "response has no request id"}
 	case info.NotRun && d.gateway.coolDownHelper(info.Fault, placement):
 		return result{outcome: rtdelivery.HelperRefused, detail: "refused because of helper " + info.Fault}
 	case info.NotRun && response.Status == http.StatusMisdirectedRequest:
--- a/internal/rtgateway/outcome_test.go
+++ b/internal/rtgateway/outcome_test.go
@@ -52,6 +52,15 @@
 	{"answers for another request", writeText(func(*run) string {
 		return "HTTP/1.1 200 x\r\nId: other\r\nStamp: s\r\nContent-Length: 2\r\n\r\nno"
 	}), true},
+	{"refuses another request", writeText(func(*run) string {
+		return "HTTP/1.1 503 x\r\nId: other\r\nNotrun: 1\r\nContent-Length: 0\r\n\r\n"
+	}), true},
+	{"says that another target has the address, to another request", writeText(func(*run) string {
+		return "HTTP/1.1 421 x\r\nId: other\r\nContent-Length: 0\r\n\r\n"
+	}), true},
+	{"blames a helper for another request", writeText(func(*run) string {
+		return "HTTP/1.1 503 x\r\nId: other\r\nNotrun: 1\r\nFault: 10.0.1.2:80\r\nContent-Length: 0\r\n\r\n"
+	}), true},
 	{"answers without a stamp", writeText(func(r *run) string {
 		return "HTTP/1.1 200 x\r\nId: " + r.request.Header.Get("Id") + "\r\nContent-Length: 2\r\n\r\nno"
 	}), true},
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -160,6 +160,10 @@
 	info := r.gateway.dialect.ParseResponse(response.Status, response.Header)
 	r.gateway.recordRateLimit(r.memory.Target, info, false, sent)
 	r.gateway.recordNotices(r.memory.Target, response.Status, info)
+	if info.Request != "" {
+		r.unanswered = true
+		return errors.New("reply to a memory command has the id of a request")
+	}
 	if _, err := response.ReadAll(maxCommandReply, nil); err != nil {
 		r.unanswered = true
 		return err
--- a/internal/rtgateway/reservation_test.go
+++ b/internal/rtgateway/reservation_test.go
@@ -179,3 +179,31 @@
 		})
 	}
 }
+
+// Guards against a reply that belongs to a request and counts as that to a memory
+// command: the prompt would be sent without memory, or the memory would not be
+// released.
+func TestCommandRepliesOfRequests(t *testing.T) {
+	withTestbed(t, 24, func(b *testbed) {
+		useEngineService(b)
+		for _, target := range b.targets {
+			target.commandHeader = "Id: other\r\n"
+		}
+		got := b.call(http.MethodPost, "/stream/x", headers("id-1", "Size", "330000", "Remaining", "5s"), "")
+		if got.status != http.StatusServiceUnavailable {
+			b.t.Errorf("got status %d, want 503", got.status)
+		}
+		if runs := b.allRuns(); len(runs) > 0 {
+			b.t.Errorf("sent without reserved memory: %s", describe(runs))
+		}
+		time.Sleep(2 * releaseRetryInterval)
+		for _, target := range b.targets {
+			target.mu.Lock()
+			commands := target.commands
+			target.mu.Unlock()
+			if n := len(commands); n > 0 && (n < 3 || !strings.HasPrefix(commands[n-2], "release")) {
+				b.t.Errorf("commands at %s are %q, want repeated releases", target.id, commands)
+			}
+		}
+	})
+}
