Drop digests that no process of the deployment sends

Cause: any message that could be decoded was taken for a digest. A listed peer with a name for an address was looked up each time a digest was sent, which delays those of all others; one with port 0 stayed for good. Each message that could not be decoded wrote a log line.

Change: the sender's VM and address and the listed addresses are checked. Dropped messages are logged once a minute and sender.

Ruled out: a message that ends the process; the decoder limits nesting.

--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
@@ -176,18 +179,64 @@
 	return live
 }
 
+// maxVMName is the longest name of a VM in bytes that is taken for one.
+const maxVMName = 200
+
+// decodeDigest returns the digest in a message. It returns an error for one that no
+// process of the deployment sends. Listed peers without an address are dropped.
+func decodeDigest(data []byte) (digest, error) {
+	var message digest
+	if err := json.Unmarshal(data, &message); err != nil {
+		return digest{}, err
+	}
+	if message.VM == "" || len(message.VM) > maxVMName {
+		return digest{}, fmt.Errorf("name of the VM has %d bytes, want 1 to %d", len(message.VM), maxVMName)
+	}
+	if !validAddress(message.Address) {
+		return digest{}, fmt.Errorf("address %.80q is not that of a process", message.Address)
+	}
+	message.Peers = slices.DeleteFunc(message.Peers, func(a rtid.Address) bool { return !validAddress(a) })
+	message.Peers = message.Peers[:min(len(message.Peers), maxListedPeers)]
+	return message, nil
+}
+
+// validAddress reports whether an address can be that of a process. A name would be
+// looked up each time a digest is sent to it.
+func validAddress(address rtid.Address) bool {
+	parsed, err := netip.ParseAddrPort(string(address))
+	return err == nil && parsed.Port() != 0 && !parsed.Addr().IsUnspecified() && !parsed.Addr().IsMulticast()
+}
+
+const (
+	// dropLogInterval is the shortest time between two log lines about dropped
+	// messages of one sender.
+	dropLogInterval = time.Minute
+	// maxDropSenders is how many senders of dropped messages are remembered.
+	maxDropSenders = 256
+)
+
+// logDropped logs that a message was dropped.
+func (g *Group) logDropped(sender netip.Addr, err error, now time.Time) {
+	maps.DeleteFunc(g.droppedLogs, func(_ netip.Addr, last time.Time) bool { return now.Sub(last) >= dropLogInterval })
+	if _, quiet := g.droppedLogs[sender]; quiet || len(g.droppedLogs) >= maxDropSenders {
+		return
+	}
+	g.droppedLogs[sender] = now
+	g.log.Info("Digest dropped.", "sender", sender.String(), "error", fmt.Sprintf("%.200s", err))
+}
+
 // receiveDigests receives and applies digests until the socket is closed. It
-// drops those that cannot be decoded.
+// drops those that no process of the deployment sends.
 func (g *Group) receiveDigests(ctx context.Context, socket *net.UDPConn) error {
 	buffer := make([]byte, maxDigestBytes)
 	for ctx.Err() == nil {
-		n, _, err := socket.ReadFromUDP(buffer)
+		n, sender, err := socket.ReadFromUDP(buffer)
 		if err != nil {
 			return fmt.Errorf("receive digest: %w", err)
 		}
-		var message digest
-		if err := json.Unmarshal(buffer[:n], &message); err != nil {
-			g.log.Info("Received digest cannot be decoded, dropping it.", "error", err.Error())
+		message, err := decodeDigest(buffer[:n])
+		if err != nil {
+			g.logDropped(sender.AddrPort().Addr(), err, time.Now())
 			continue
 		}
 		g.applyDigest(message)
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,6 +149,8 @@
 	// than the start, and than the end of a pause.
 	settledAt atomic.Pointer[time.Time]
 
+	droppedLogs map[netip.Addr]time.Time // last line about a dropped message, by sender; used by receiveDigests only
+
 	newPeer atomic.Bool // set when a peer becomes alive, so that the next digest lists the live peers
 
 	mu       sync.Mutex
@@ -181,6 +184,8 @@
 		newerPeer: make(chan struct{}, 1),
 		started:   time.Now(),
 		peers:     make(map[rtid.Address]*peer),
+
+		droppedLogs: make(map[netip.Addr]time.Time),
 	}
 	group.unsettle(group.started)
 	group.AddSeeds(options.Seeds)
