Do not take comments of a stream for progress

Cause: any event restarted the watchdog and counted as a sign of life of its target. A stalled target that sends a comment line now and then kept a stream until its deadline (10 s), and made the streams beside it look busy, although their callers give up after 2 s without an event.

Ruled out: bytes of an event and empty lines now and then, which do not count before the event is whole; slow but sound streams, which are not cut.

Change: an event that has comments only is passed on, but restarts nothing.

--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -20,6 +20,9 @@
 type Event struct {
 	Bytes []byte // as received, including empty lines before it and the one at its end
 	ID    string // empty if the event has none
+	// Comment says that it has comments only. A target may send them while it makes no
+	// progress.
+	Comment bool
 }
 
 // NextEvent returns the next complete event. It returns io.EOF if the stream
@@ -31,6 +34,7 @@
 	var event Event
 	lineStart := 0   // in event.Bytes; a line may be longer than the buffer of the body
 	hasLine := false // a line that is not empty has been read
+	event.Comment = true
 	for {
 		part, err := r.Body.ReadSlice('\n')
 		event.Bytes = append(event.Bytes, part...)
@@ -55,6 +59,7 @@
 			return event, nil
 		}
 		hasLine = hasLine || len(line) > 0
+		event.Comment = event.Comment && (len(line) == 0 || line[0] == ':')
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			event.ID = string(bytes.TrimSpace(id))
 		}
--- a/internal/rtgateway/outcome_test.go
+++ b/internal/rtgateway/outcome_test.go
@@ -195,3 +195,29 @@
 		}
 	}
 }
+
+// Guards against a second answer, sent late on the connection of a request, that
+// another request gets.
+func TestLateSecondAnswer(t *testing.T) {
+	withTestbed(t, 1, func(b *testbed) {
+		b.targets[0].set(func(c net.Conn, r *run) {
+			answerOK(c, r)
+			for range 3 {
+				time.Sleep(300 * time.Millisecond)
+				_, _ = io.WriteString(c, r.responseHead(200, "Content-Length: 6\r\n")+"second")
+				_, _ = io.WriteString(c, r.responseHead(503, "Notrun: 1\r\nContent-Length: 0\r\n"))
+			}
+		})
+		for i := range 20 {
+			id := fmt.Sprint("id-", i)
+			got := b.call(http.MethodPost, "/order/x", headers(id), "")
+			if got.status != http.StatusOK || got.body != "ok" || got.header.Get("Id") != id {
+				t.Errorf("%s: got status %d, body %q for %q; want its own answer", id, got.status, got.body, got.header.Get("Id"))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if runs := len(b.allRuns()); runs != 20 {
+			t.Errorf("%d attempts for 20 orders", runs)
+		}
+	})
+}
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -84,14 +84,18 @@
 		event, err := r.response.NextEvent(d.gateway.bodies)
 		if errors.Is(err, io.EOF) {
 			r.proveParts()
+			r.recordAnswer()
 			r.startResponse()
 			return result{outcome: rtdelivery.Done, detail: "complete"}
 		}
 		if err != nil {
 			return d.exchangeFailed(ctx, r.target, err)
 		}
-		r.watchdog.reset()
-		r.recordEvent(time.Now())
+		if !event.Comment {
+			r.watchdog.reset()
+			r.recordEvent(time.Now())
+			r.recordAnswer()
+		}
 		r.startResponse()
 		if _, err := d.request.w.Write(event.Bytes); err != nil {
 			return result{outcome: rtdelivery.CallerGone, detail: err.Error()}
@@ -129,12 +133,16 @@
 	}
 }
 
-// startResponse records that the prompt has been prefilled and that the target
-// responds. It writes status and headers to the caller unless an earlier call
-// for the request has done so.
-func (r *relay) startResponse() {
+// recordAnswer records that the prompt has been prefilled and that the target
+// responds.
+func (r *relay) recordAnswer() {
 	r.delivery.gateway.prefillDone(r.inFlight)
 	r.delivery.gateway.recordResponse(r.target.ID)
+}
+
+// startResponse writes status and headers to the caller unless an earlier call for
+// the request has done so.
+func (r *relay) startResponse() {
 	if r.delivery.headWritten {
 		return
 	}
--- a/internal/rtgateway/running_test.go
+++ b/internal/rtgateway/running_test.go
@@ -135,3 +135,51 @@
 		}
 	})
 }
+
+// Guards against a stalled stream that does not end, because its target sends a byte or
+// a comment now and then, and against a slow but sound one that is cut for it.
+func TestStalledStreams(t *testing.T) {
+	const wholeEvents = 2
+	trickle := func(text string, interval time.Duration) script {
+		return sendSlowly(wholeEvents, 50*time.Millisecond, func(c net.Conn, r *run) {
+			for err := error(nil); err == nil && r.ended.IsZero(); {
+				time.Sleep(interval)
+				_, err = io.WriteString(c, chunk(text))
+			}
+		})
+	}
+	tests := []struct {
+		name   string
+		script script
+		runs   int
+	}{
+		{"bytes of an event", trickle("i", 300*time.Millisecond), 2},
+		{"empty lines", trickle("\n", 300*time.Millisecond), 2},
+		{"comments", trickle(":\n\n", 300*time.Millisecond), 2},
+		{"comments with text", trickle(": still here\n: yes\n\n", 900*time.Millisecond), 2},
+		{"sound, an event each 1.1 s", sendSlowly(events, 1100*time.Millisecond, func(c net.Conn, _ *run) { _, _ = io.WriteString(c, lastChunk) }), 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, 2, func(b *testbed) {
+				b.firstRun(test.script)
+				got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+				body := ""
+				for part := range strings.SplitAfterSeq(got.body, "\n\n") {
+					if part = strings.TrimLeft(part, "\n"); !strings.HasPrefix(part, ":") {
+						body += part
+					}
+				}
+				if got.err != nil || body != allEvents() {
+					t.Errorf("got status %d, body %q, error %v; want the whole stream", got.status, got.body, got.err)
+				}
+				if runs := len(b.allRuns()); runs != test.runs {
+					t.Errorf("%d attempts, want %d", runs, test.runs)
+				}
+				if bound := testRoutes[2].AbandonTimeout(); test.runs > 1 && got.took > wholeEvents*50*time.Millisecond+bound {
+					t.Errorf("ended after %v, want it before its caller abandons it after %v", got.took, bound)
+				}
+			})
+		})
+	}
+}
