Use the earlier of two entries at an address if the later one is wrong

Cause: of several entries with one address the latest start counted, for as long as it was there. An entry of another writer, or one of a target that has ended, kept the sound target out: its requests were answered by "another target has the address".

Change: a view remembers the earlier entries. While a target is excluded because another one has its address, the next one counts in its place.

Ruled out: a request that runs at a wrong target; each names the target that may run it. Leaves of the earlier target hold (same test).

--- a/internal/rtcatalog/catalog.go
+++ b/internal/rtcatalog/catalog.go
@@ -183,9 +183,10 @@
 
 	instances map[rtid.Service][]*Instance
 	byID      map[rtid.Target]*Instance
+	earlier   map[rtid.Target]*Instance // the next newest instance at the address, by ID
 }
 
-// NewView returns a view. Of several instances at one address it keeps the
+// NewView returns a view. Of several instances at one address it lists the
 // newest, and it sorts the instances by ID.
 func NewView(revision rtid.StoreRevision, configuration *Configuration, zonesOut map[rtid.Zone]bool, instances []*Instance) *View {
 	view := &View{
@@ -195,7 +196,7 @@
 		instances:     make(map[rtid.Service][]*Instance),
 		byID:          make(map[rtid.Target]*Instance, len(instances)),
 	}
-	instances = newestPerAddress(instances)
+	instances = view.newestPerAddress(instances)
 	slices.SortFunc(instances, func(a, b *Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, instance := range instances {
 		view.instances[instance.Service] = append(view.instances[instance.Service], instance)
@@ -205,13 +206,40 @@
 }
 
 // newestPerAddress returns the instances without those whose address is used by a
-// later one.
-func newestPerAddress(instances []*Instance) []*Instance {
+// later one. These are recorded as earlier ones.
+func (v *View) newestPerAddress(instances []*Instance) []*Instance {
 	newest := make(map[rtid.Address]*Instance, len(instances))
+	shared := make(map[rtid.Address][]*Instance) // addresses with several instances
 	for _, instance := range instances {
-		if other := newest[instance.Address]; other == nil || instance.startedAfter(other) {
+		other := newest[instance.Address]
+		if other == nil || instance.startedAfter(other) {
 			newest[instance.Address] = instance
 		}
+		if other != nil {
+			if len(shared[instance.Address]) == 0 {
+				shared[instance.Address] = []*Instance{other}
+			}
+			shared[instance.Address] = append(shared[instance.Address], instance)
+		}
+	}
+	for _, group := range shared {
+		slices.SortFunc(group, func(a, b *Instance) int {
+			switch {
+			case a.startedAfter(b):
+				return -1
+			case b.startedAfter(a):
+				return 1
+			default:
+				return strings.Compare(string(a.ID), string(b.ID))
+			}
+		})
+		if v.earlier == nil {
+			v.earlier = make(map[rtid.Target]*Instance)
+		}
+		newest[group[0].Address] = group[0]
+		for i, instance := range group[:len(group)-1] {
+			v.earlier[instance.ID] = group[i+1]
+		}
 	}
 	return slices.Collect(maps.Values(newest))
 }
@@ -232,6 +260,10 @@
 // Instance returns a target by ID, or nil.
 func (v *View) Instance(id rtid.Target) *Instance { return v.byID[id] }
 
+// Earlier returns the instance whose entry names the same address as a newer one, or
+// nil. It counts if the newer one turns out not to have the address.
+func (v *View) Earlier(instance *Instance) *Instance { return v.earlier[instance.ID] }
+
 // Usable reports whether new work may be sent to a target: whether it is not
 // draining and its zone is not out.
 func (v *View) Usable(instance *Instance) bool {
--- a/internal/rtgateway/gateway_test.go
+++ b/internal/rtgateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -514,3 +515,68 @@
 		b.t.Errorf("got %d renewals, want some only for a request that lasts longer than a renewal interval", renewed)
 	}
 }
+
+// Guards against requests that a planned stop under load cuts off without an answer,
+// although they have been sent to a target: on connections that callers keep, and on
+// new ones up to the moment at which the listener closes.
+func TestStopUnderLoad(t *testing.T) {
+	for _, path := range []string{"/order/x", "/safe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			withTestbed(t, 2, func(b *testbed) {
+				const callersOfEach = 15
+				kept := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+					return b.network.Host("10.0.9.8").Dial(ctx, callers)
+				}}
+				defer kept.CloseIdleConnections()
+				var mu sync.Mutex
+				failed := make(map[string]error)
+				served := 0
+				send := func(id string, keep bool) {
+					var got reply
+					if keep {
+						got = b.callOver(kept, id, path)
+					} else {
+						got = b.call(http.MethodPost, path, headers(id), "body")
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if got.err != nil {
+						failed[id] = got.err
+					} else if got.status == http.StatusOK {
+						served++
+					}
+				}
+				var wg sync.WaitGroup
+				ended := make(chan struct{})
+				for i := range 2 * callersOfEach {
+					wg.Go(func() {
+						for n := 0; ; n++ {
+							select {
+							case <-ended:
+								return
+							case <-time.After(time.Duration(i+1) * time.Millisecond):
+							}
+							send(fmt.Sprint("id-", i, "-", n), i < callersOfEach)
+						}
+					})
+				}
+				time.Sleep(time.Second)
+				if err := b.stop(); err != nil {
+					t.Error(err)
+				}
+				close(ended)
+				wg.Wait()
+				reached := 0
+				for _, r := range b.allRuns() {
+					if err, ok := failed[r.request.Header.Get("Id")]; ok {
+						reached++
+						t.Logf("%s: %v", r.request.Header.Get("Id"), err)
+					}
+				}
+				if reached > 0 || served < 300 {
+					t.Errorf("%d requests were cut off that had been sent to a target, %d served; want none, and 300 or more", reached, served)
+				}
+			})
+		})
+	}
+}
--- a/internal/rtgateway/incarnation_test.go
+++ b/internal/rtgateway/incarnation_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
 
@@ -47,3 +48,37 @@
 		})
 	}
 }
+
+// Guards against a target that gets nothing because another entry names its address: of
+// an odd writer with a later start, or of a target that has ended meanwhile.
+func TestTwoEntriesAtOneAddress(t *testing.T) {
+	withTestbed(t, 1, func(b *testbed) {
+		sound := &rtcatalog.Instance{ID: "t0", Born: 1, Service: "work", Address: b.targets[0].address, Zone: "a", Slots: 16}
+		var instances []*rtcatalog.Instance
+		for i := range 3 {
+			odd := *sound
+			odd.ID, odd.Born = rtid.Target(fmt.Sprint("odd-", i)), rtid.Incarnation(10+i)
+			instances = append(instances, &odd)
+		}
+		b.mu.Lock()
+		b.view = rtcatalog.NewView(rtid.StoreRevision{Number: 2}, newConfiguration(2), nil, append(instances, sound))
+		b.mu.Unlock()
+		b.load("/safe/x", 50*time.Millisecond, time.Second)
+		for _, got := range b.load("/safe/x", 50*time.Millisecond, 5*time.Second) {
+			if got.status != http.StatusOK {
+				t.Errorf("got status %d, want 200 from the target that has the address", got.status)
+				break
+			}
+		}
+		draining := *sound
+		draining.Draining = true
+		b.mu.Lock()
+		b.view = rtcatalog.NewView(rtid.StoreRevision{Number: 3}, newConfiguration(2), nil, append(instances, &draining))
+		b.mu.Unlock()
+		from := time.Now()
+		b.load("/safe/x", 50*time.Millisecond, 5*time.Second)
+		if got := b.arrivalsSince(b.targets[0], from); len(got) > 0 {
+			t.Errorf("%d requests reached the target, which is leaving", len(got))
+		}
+	})
+}
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -87,6 +87,7 @@
 	var kept keptOut
 	for _, instance := range instances {
 		g.forgetPredecessor(instance)
+		instance = g.atAddress(view, instance, now)
 		if !view.Usable(instance) || g.leaves.Leaving(instance.Incarnation()) {
 			continue
 		}
@@ -136,6 +137,18 @@
 	return healthy, kept
 }
 
+// atAddress returns the instance that has the address of a listed one: the listed one,
+// unless the target at the address has said that it is another one. The caller holds
+// mu.
+func (g *Gateway) atAddress(view *rtcatalog.View, listed *rtcatalog.Instance, now time.Time) *rtcatalog.Instance {
+	for instance := listed; instance != nil; instance = view.Earlier(instance) {
+		if c := g.cooldowns[instance.ID]; !c.replaced || !now.Before(c.until) {
+			return instance
+		}
+	}
+	return listed
+}
+
 // cellEngines caches the instances of a service that belong to the cell of
 // this process. It is valid for one view and one cell.
 type cellEngines struct {
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -484,6 +484,26 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err, took: time.Since(start)}
 }
 
+// callOver sends one request with a body over the connections of a transport.
+func (b *testbed) callOver(transport http.RoundTripper, id, path string) reply {
+	// A body that cannot be read again keeps the client from repeating the request.
+	body := io.NopCloser(strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, "http://service.example"+path, body)
+	if err != nil {
+		return reply{err: err}
+	}
+	for name, value := range headers(id) {
+		request.Header.Set(name, value)
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
 // headers returns the headers of a valid request.
 func headers(id string, more ...string) map[string]string {
 	h := map[string]string{"Id": id, "Key": "key", "Remaining": "10s"}
