Ask the next peer for the state while one does not answer

Cause: a process that does not read the store fetched each change from one peer and waited 1.5 s for it. Peers that have the change first are asked first, also after they have lost power, so two such peers in a row cost 3 s: more than a configuration, a leave or a revoked key may take on sites of that size (3 s with 26 gateways, 4 s with 68). A zone that is lost right after a change makes this likely at some of many gateways.

Change: after 0.4 s without an answer, or a failure, the next peer of up to four is asked, too, and the first answer counts. Those that did not answer are left out until their next digest.

--- a/internal/rtpeer/peer_test.go
+++ b/internal/rtpeer/peer_test.go
@@ -155,8 +155,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g, _ := newTestGroup()
 		newerPeer := func(reader bool) rtid.Address {
-			address, _ := g.findNewerPeer(reader)
-			return address
+			for _, address := range g.findNewerPeers(reader) {
+				return address
+			}
+			return ""
 		}
 		g.applyDigest(digestFrom(1, 5, 0))
 		if got := newerPeer(true); got != addressOf(1) {
--- a/internal/rtpeer/restore_test.go
+++ b/internal/rtpeer/restore_test.go
@@ -79,11 +79,13 @@
 
 	version   int
 	evacuated bool
+	stateTime time.Duration // in which processes answer each other, at most
 	targets   map[string]*restoreTarget
 	lapses    map[string]time.Time // when entries of targets that are gone lapse
 
-	mu  sync.Mutex
-	log []string
+	mu          sync.Mutex
+	log         []string
+	stateRandom *rand.Rand
 }
 
 const restoreStore rtid.Address = "10.9.0.1:80"
@@ -92,6 +94,7 @@
 	f := &restoreFleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), network: &rtfake.Network{Seed: seed}, store: rtstandin.NewStore(),
 		targets: make(map[string]*restoreTarget), lapses: make(map[string]time.Time),
+		stateRandom: rand.New(rand.NewPCG(seed, 1)),
 	}
 	t.Cleanup(f.network.Close)
 	f.store.PageSize = 3
@@ -140,7 +143,13 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(p.group.serveState), ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(f.drawStateTime()):
+		case <-r.Context().Done():
+		}
+		p.group.serveState(w, r)
+	}), ReadHeaderTimeout: time.Minute}
 	tasks := []*rttask.Task{
 		rttask.Start(f.t.Context(), "feed", p.feed.Run),
 		rttask.Start(f.t.Context(), "catch up", p.group.catchUp),
@@ -159,6 +168,16 @@
 	f.processes[i] = p
 }
 
+// drawStateTime draws how long a process takes to answer another one.
+func (f *restoreFleet) drawStateTime() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stateTime == 0 {
+		return 0
+	}
+	return time.Duration(f.stateRandom.Int64N(int64(f.stateTime)))
+}
+
 // configure writes the next version of the configuration.
 func (f *restoreFleet) configure() {
 	f.version += 1 + f.random.IntN(3)
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeed"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
 
 // catchUp fetches the state of peers at a higher revision, and decides whether
@@ -31,24 +34,78 @@
 		g.assignCells(now)
 		reader := g.isReader(now)
 		g.options.Feed.SetReader(reader)
-		address, ok := g.findNewerPeer(reader)
+		peers := g.findNewerPeers(reader)
 		after := g.options.Feed.Revision()
-		if !ok {
+		if len(peers) == 0 {
 			// All items, so that they hold the ones that have a version.
 			after = rtid.StoreRevision{}
-			address, ok = g.findKeepingPeer(now)
+			peers = g.findKeepingPeer(now)
 		}
-		if !ok {
-			continue
+		if delta, address, ok := g.fetchFirst(ctx, peers, after); ok {
+			g.options.Feed.ApplyPeerDelta(delta, string(address))
 		}
-		delta, err := g.fetchState(ctx, address, after)
-		if err != nil {
-			g.log.Info("State cannot be fetched from a peer.", "peer", address, "error", err.Error())
-			g.resetRevision(address)
+	}
+}
+
+const (
+	// maxFetches is how many peers are asked for their state at the same time.
+	maxFetches = 4
+	// hedgeDelay is how long a peer may take to answer before the next one is asked,
+	// too. A change must be in force within 3 s where not all gateways read the store,
+	// also if those that are asked first have just lost power. Small VMs under load
+	// take up to 0.3 s.
+	hedgeDelay = 400 * time.Millisecond
+)
+
+// fetchFirst fetches the state of the first peer that answers. It asks the next one
+// when the last one has failed or not answered for hedgeDelay. Peers that did not
+// answer are left out until their next digest.
+func (g *Group) fetchFirst(ctx context.Context, peers []rtid.Address, after rtid.StoreRevision) (rtfeed.Delta, rtid.Address, bool) {
+	type answer struct {
+		peer  rtid.Address
+		delta rtfeed.Delta
+		err   error
+	}
+	answers := make(chan answer, len(peers))
+	asked := make(map[rtid.Address]*rttask.Task) // without those that have failed
+	defer func() {
+		for _, task := range asked {
+			_ = task.Stop() // the error is in its answer
+		}
+	}()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for next, pending := 0, 0; next < len(peers) || pending > 0; {
+		select {
+		case <-ctx.Done():
+			return rtfeed.Delta{}, "", false
+		case <-timer.C:
+		case a := <-answers:
+			pending--
+			delete(asked, a.peer)
+			if a.err == nil {
+				for peer := range asked {
+					g.resetRevision(peer)
+				}
+				return a.delta, a.peer, true
+			}
+			g.log.Info("State cannot be fetched from a peer.", "peer", a.peer, "error", a.err.Error())
+			g.resetRevision(a.peer)
+		}
+		if next == len(peers) {
 			continue
 		}
-		g.options.Feed.ApplyPeerDelta(delta, string(address))
+		peer := peers[next]
+		next++
+		pending++
+		asked[peer] = rttask.Start(ctx, "fetch state", func(ctx context.Context) error {
+			delta, err := g.fetchState(ctx, peer, after)
+			answers <- answer{peer: peer, delta: delta, err: err}
+			return err
+		})
+		timer.Reset(hedgeDelay)
 	}
+	return rtfeed.Delta{}, "", false
 }
 
 // detectPause unsettles the process after a pause in which its peers may have given
@@ -83,7 +140,7 @@
 // readerHash returns the hash that orders processes for isReader.
 func readerHash(vm rtid.VM) uint64 { return xxhash.Sum64String("reader " + string(vm)) }
 
-// resetRevision makes findNewerPeer skip a peer until its next digest.
+// resetRevision makes findNewerPeers skip a peer until its next digest.
 func (g *Group) resetRevision(address rtid.Address) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -92,15 +149,15 @@
 	}
 }
 
-// findNewerPeer returns the live peer with the highest revision above the own
-// one. For a reader it returns only peers that have been ahead for catchUpDelay,
-// because the store usually returns the same changes first. It also logs peers
-// that are no longer alive.
-func (g *Group) findNewerPeer(reader bool) (rtid.Address, bool) {
+// findNewerPeers returns live peers with a revision above the own one, at most
+// maxFetches, those with the highest one first. For a reader it returns only peers
+// that have been ahead for catchUpDelay, because the store usually returns the same
+// changes first. It also logs peers that are no longer alive.
+func (g *Group) findNewerPeers(reader bool) []rtid.Address {
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var best rtid.Address
+	var newer []rtid.Address
 	for address, p := range g.peers {
 		silent := time.Since(p.lastDigest) > p.aliveTimeout()
 		if silent && p.loggedAlive {
@@ -113,21 +170,22 @@
 		if reader && !ownRevision.IsZero() && (p.aheadSince.IsZero() || time.Since(p.aheadSince) < catchUpDelay) {
 			continue
 		}
-		if best == "" || p.revision.After(g.peers[best].revision) {
-			best = address
-		}
+		newer = append(newer, address)
 	}
-	return best, best != ""
+	// The order of a map differs each time, so that not all ask the same peer.
+	slices.SortStableFunc(newer, func(a, b rtid.Address) int { return g.peers[b].revision.Compare(g.peers[a].revision) })
+	return newer[:min(len(newer), maxFetches)]
 }
 
 // findKeepingPeer returns a live peer that may know something from before the store
 // came back from a copy which this process does not know, because it has started
-// since: a later version of the configuration, or other items that it keeps.
-func (g *Group) findKeepingPeer(now time.Time) (rtid.Address, bool) {
+// since: a later version of the configuration, or other items that it keeps. It
+// returns nil if there is none.
+func (g *Group) findKeepingPeer(now time.Time) []rtid.Address {
 	feed := g.options.Feed
 	ownRevision, ownVersion, ownKept := feed.Revision(), versionOf(feed.View()), feed.KeptHash()
 	if ownRevision.IsZero() {
-		return "", false
+		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -135,10 +193,10 @@
 		keeps := p.kept != 0 && p.kept != ownKept && p.revision == ownRevision
 		if now.Sub(p.lastDigest) < p.aliveTimeout() && now.Sub(p.keptFetched) >= keptFetchInterval && (keeps || p.version > ownVersion) {
 			p.keptFetched = now
-			return address, true
+			return []rtid.Address{address}
 		}
 	}
-	return "", false
+	return nil
 }
 
 // fetchState fetches the changes of a peer's state after a revision.
