Go on hearing peers after an unexpected error with one digest

Cause: a panic while a digest was applied ended the task that receives them. Nothing watched it: the process went on serving, and followed no change, no load and no leave of others any more. An error of the socket did the same.

Change: an unexpected error with one digest is logged with its stack, and the next one is received. The task that follows peers begins again.

Measured: TestDigestsAfterUnexpectedError failed, passes.

--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -11,6 +12,8 @@
 	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
@@ -231,19 +234,37 @@
 	buffer := make([]byte, maxDigestBytes)
 	for ctx.Err() == nil {
 		n, sender, err := socket.ReadFromUDP(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("receive digest: %w", err)
 		}
+		if err != nil {
+			g.log.Error(err, "Digest cannot be received.")
+			wait(ctx, digestInterval) // the error may last
+			continue
+		}
 		message, err := decodeDigest(buffer[:n])
 		if err != nil {
 			g.logDropped(sender.AddrPort().Addr(), err, time.Now())
 			continue
 		}
-		g.applyDigest(message)
+		if recovered := panics.Try(func() { g.applyDigest(message) }); recovered != nil {
+			// The process must go on hearing its peers.
+			g.log.Error(recovered.AsError(), "Digest of a peer failed unexpectedly.", "peer", message.VM)
+		}
 	}
 	return nil
 }
 
+// wait waits until d has passed or the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // applyDigest applies one digest: it passes the loads, cooldowns and evidence on,
 // records the state of the sender and adds the peers that the digest lists.
 func (g *Group) applyDigest(message digest) {
--- a/internal/rtpeer/malformed_test.go
+++ b/internal/rtpeer/malformed_test.go
@@ -1,8 +1,11 @@
 package rtpeer
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"strings"
 	"testing"
@@ -13,7 +16,9 @@
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
+	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
 
 // registers are the parts of a gateway that decide by digests.
@@ -124,3 +129,57 @@
 		}
 	})
 }
+
+// panickingLoads panics at the first digest that it gets, and reports the later ones.
+type panickingLoads struct {
+	fakeLoads
+	panicked bool
+	received chan rtid.VM
+}
+
+func (l *panickingLoads) SetPeerLoads(peer rtid.VM, _ map[rtid.Target]rtplacement.Load) {
+	if !l.panicked {
+		l.panicked = true
+		panic("unexpected")
+	}
+	l.received <- peer
+}
+
+// Guards against an unexpected error with one digest after which the process hears no
+// others, and against one that ends it.
+func TestDigestsAfterUnexpectedError(t *testing.T) {
+	g, _ := newTestGroup()
+	loads := &panickingLoads{received: make(chan rtid.VM, 1)}
+	g.options.Loads = loads
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiving := rttask.Start(t.Context(), "receive", func(ctx context.Context) error { return g.receiveDigests(ctx, socket) })
+	sender, err := net.DialUDP("udp", nil, socket.LocalAddr().(*net.UDPAddr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 {
+		data, err := json.Marshal(digestFrom(i+1, 1, 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := sender.Write(data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case got := <-loads.received:
+		if got != "vm2" {
+			t.Errorf("heard %s, want vm2", got)
+		}
+	case err := <-receiving.Done():
+		t.Errorf("the task has ended: %v", err)
+	}
+	_ = sender.Close()
+	_ = socket.Close()
+	if err := receiving.Stop(); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+}
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -361,7 +361,7 @@
 	tasks := []*rttask.Task{
 		rttask.Start(ctx, "receive digests", func(ctx context.Context) error { return g.receiveDigests(ctx, socket) }),
 		rttask.Start(ctx, "serve state", func(context.Context) error { return server.Serve(listener) }),
-		rttask.Start(ctx, "catch up", g.catchUp),
+		rttask.Start(ctx, "catch up", func(ctx context.Context) error { return g.keepCatchingUp(ctx, g.catchUp) }),
 	}
 	g.sendDigests(ctx, socket)
 	_ = socket.Close()
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -17,6 +17,18 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
 
+// keepCatchingUp runs f, which is catchUp, until the context ends, again after an
+// unexpected error: a process that does not follow its peers any more must not stay.
+func (g *Group) keepCatchingUp(ctx context.Context, f func(context.Context) error) error {
+	for ctx.Err() == nil {
+		if err := <-rttask.Start(ctx, "catch up", f).Done(); err != nil && ctx.Err() == nil {
+			g.log.Error(err, "Following peers failed unexpectedly, trying again.")
+			wait(ctx, keptFetchInterval)
+		}
+	}
+	return nil
+}
+
 // catchUp fetches the state of peers at a higher revision, and decides whether
 // this process reads the store itself. It runs until the context ends.
 func (g *Group) catchUp(ctx context.Context) error {
