--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -67,18 +67,21 @@
 	defer timer.Stop()
 	round := 0
 	for {
+		kind := intervalDigest
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		case <-g.sendNow:
+			kind = newsDigest
 		case <-g.options.Feed.Changed():
+			kind = viewDigest
 		}
 		ownCell, otherCells := g.peerAddresses()
 		message := g.newDigest(round%peerListRounds == 0 || g.newPeer.Swap(false))
-		g.sendTo(socket, ownCell, message)
+		g.sendTo(socket, ownCell, message, kind)
 		if round%otherCellRounds == 0 && len(otherCells) > 0 {
-			g.sendTo(socket, otherCells, message.forOtherCells())
+			g.sendTo(socket, otherCells, message.forOtherCells(), otherCellDigest)
 		}
 		round++
 		timer.Reset(digestInterval * time.Duration(max(1, len(ownCell)/peersPerInterval)))
@@ -151,7 +154,7 @@
 }
 
 // sendTo sends a digest to each of the peers.
-func (g *Group) sendTo(socket *net.UDPConn, peers []rtid.Address, message digest) {
+func (g *Group) sendTo(socket *net.UDPConn, peers []rtid.Address, message digest, kind messageKind) {
 	data, err := json.Marshal(message)
 	if err != nil || len(data) > maxDigestBytes {
 		g.log.Error(err, "Digest not sent because it cannot be encoded or is too large, peers do not receive the loads of this process.", "bytes", len(data))
@@ -165,7 +168,9 @@
 		}
 		if _, err := socket.WriteToUDP(data, resolved); err != nil {
 			g.log.V(1).Info("Digest not sent because the write to the socket failed.", "peer", address, "error", err.Error())
+			continue
 		}
+		g.traffic.record(kind, len(data))
 	}
 }
 
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -21,6 +21,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeed"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -134,6 +135,7 @@
 	Limits   LimitExchange    // nil for none
 	Leaves   LeaveExchange    // nil for none
 	Log      logr.Logger
+	Scope    tally.Scope // nil for no metrics
 }
 
 // Group tracks the processes of the deployment that this one knows.
@@ -144,6 +146,8 @@
 	sendNow   chan struct{} // capacity 1; signalled to send the next digest at once
 	newerPeer chan struct{} // capacity 1; signalled when a peer reports a higher revision
 
+	traffic traffic
+
 	started time.Time
 	// settledAt is when peers know this process, and it knows them. It is later
 	// than the start, and than the end of a pause.
@@ -187,6 +191,7 @@
 
 		droppedLogs: make(map[netip.Addr]time.Time),
 	}
+	group.traffic.scope = options.Scope
 	group.unsettle(group.started)
 	group.AddSeeds(options.Seeds)
 	return group
@@ -360,6 +365,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(g.serveState), ReadHeaderTimeout: fetchTimeout}
 	tasks := []*rttask.Task{
 		rttask.Start(ctx, "receive digests", func(ctx context.Context) error { return g.receiveDigests(ctx, socket) }),
+		rttask.Start(ctx, "log traffic", g.logTraffic),
 		rttask.Start(ctx, "serve state", func(context.Context) error { return server.Serve(listener) }),
 		rttask.Start(ctx, "catch up", func(ctx context.Context) error { return g.keepCatchingUp(ctx, g.catchUp) }),
 	}
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -247,8 +247,15 @@
 		}
 		*value = number
 	}
+	delta := g.options.Feed.Delta(after)
+	kind := changesState
+	if delta.Full {
+		kind = fullState
+	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(g.options.Feed.Delta(after)); err != nil {
+	counted := &countingWriter{Writer: w}
+	if err := json.NewEncoder(counted).Encode(delta); err != nil {
 		g.log.Info("State requested by a peer cannot be sent.", "error", err.Error())
 	}
+	g.traffic.record(kind, counted.bytes)
 }
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -85,6 +85,7 @@
 		Limits:   process.gateway,
 		Leaves:   process.gateway,
 		Log:      log,
+		Scope:    metrics.Scope,
 	})
 	peers.Group = process.group
 	return process
