Make the fake agent send nothing after it was cancelled

Cause: TestDraftTimeLimit/slow_answer failed 7 times in 1,800 with the race detector. The fake agent sent all remaining frames at once when its request was cancelled at the time limit, and the entry may still read them. A real agent stops.

Change: it aborts the answer. The check is as before.

--- a/internal/rtentry/fake_test.go
+++ b/internal/rtentry/fake_test.go
@@ -206,6 +206,7 @@
 		select {
 		case <-time.After(a.pause):
 		case <-r.Context().Done():
+			panic(http.ErrAbortHandler) // a cancelled agent sends nothing more
 		}
 	}
 	frame.Request = path.Base(r.URL.Path)
