--- a/internal/rtpeer/catchup_test.go
+++ b/internal/rtpeer/catchup_test.go
@@ -30,6 +30,15 @@
 	return f
 }
 
+// withCatchUpFleet runs a test with a fleet in virtual time.
+func withCatchUpFleet(t *testing.T, seed uint64, processes int, test func(f *catchUpFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCatchUpFleet(t, seed, processes)
+		defer f.heal()
+		test(f)
+	})
+}
+
 // hostOf returns the host of an address.
 func hostOf(address rtid.Address) string {
 	host, _, _ := strings.Cut(string(address), ":")
@@ -75,7 +84,7 @@
 func (f *catchUpFleet) send(i int) {
 	p := f.processes[i]
 	ownCell, otherCells := p.group.peerAddresses()
-	message := p.group.newDigest(f.sent[i]%peerListRounds == 0 || p.group.newPeer.Swap(false))
+	message := p.group.newDigest(p.group.listedNow(f.sent[i]))
 	f.deliver(message, ownCell)
 	if f.sent[i]%otherCellRounds == 0 {
 		f.deliver(message.forOtherCells(), otherCells)
@@ -146,9 +155,7 @@
 		for seed := range uint64(seeds) {
 			t.Run(fmt.Sprintf("%s of %d, seed %d", test.name, test.processes, seed), func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(t *testing.T) {
-					f := newCatchUpFleet(t, seed, test.processes)
-					defer f.heal()
+				withCatchUpFleet(t, seed, test.processes, func(f *catchUpFleet) {
 					f.run(6 * time.Second)
 					die := func() {
 						var dying []int
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -78,7 +78,7 @@
 			kind = viewDigest
 		}
 		ownCell, otherCells := g.peerAddresses()
-		message := g.newDigest(round%peerListRounds == 0 || g.newPeer.Swap(false))
+		message := g.newDigest(g.listedNow(round))
 		g.sendTo(socket, ownCell, message, kind)
 		if round%otherCellRounds == 0 && len(otherCells) > 0 {
 			g.sendTo(socket, otherCells, message.forOtherCells(), otherCellDigest)
@@ -88,6 +88,18 @@
 	}
 }
 
+// listedNow returns how many peers the digest of a round lists.
+func (g *Group) listedNow(round int) int {
+	switch {
+	case g.newPeer.Swap(false):
+		return maxListedPeers
+	case round%peerListRounds == 0:
+		return sampledPeers
+	default:
+		return 0
+	}
+}
+
 // versionOf returns the version of the configuration in force, or 0.
 func versionOf(view *rtcatalog.View) rtid.Version {
 	if view == nil || view.Configuration == nil {
@@ -118,9 +130,8 @@
 	return ownCell, otherCells
 }
 
-// newDigest returns a digest of the current state. It lists live peers only if
-// withPeers is set.
-func (g *Group) newDigest(withPeers bool) digest {
+// newDigest returns a digest of the current state. It lists a number of live peers.
+func (g *Group) newDigest(listed int) digest {
 	message := digest{
 		VM:      g.options.VM,
 		Address: g.options.Address,
@@ -140,8 +151,8 @@
 	if contact := g.options.Feed.LastContact(); !contact.IsZero() {
 		message.ContactAge = time.Since(contact).Milliseconds()
 	}
-	if withPeers {
-		message.Peers = g.livePeers()
+	if listed > 0 {
+		message.Peers = g.livePeers(listed)
 	}
 	message.Cooldowns = make(map[rtid.Target]int64)
 	for target, remaining := range g.options.Loads.Cooldowns() {
@@ -174,13 +185,14 @@
 	}
 }
 
-// livePeers returns the addresses of live peers, at most maxListedPeers.
-func (g *Group) livePeers() []rtid.Address {
+// livePeers returns the addresses of live peers, at most a number of them, which
+// differ each time.
+func (g *Group) livePeers(most int) []rtid.Address {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var live []rtid.Address
 	for address, p := range g.peers {
-		if time.Since(p.lastDigest) < p.aliveTimeout() && len(live) < maxListedPeers {
+		if time.Since(p.lastDigest) < p.aliveTimeout() && len(live) < most {
 			live = append(live, address)
 		}
 	}
--- a/internal/rtpeer/evidence_test.go
+++ b/internal/rtpeer/evidence_test.go
@@ -54,7 +54,7 @@
 		{Part: "91bd3f06", Refuted: []rtquarantine.Crash{{Target: "i-2", Age: 2 * time.Second}}, RefutedAge: 300 * time.Millisecond},
 	}
 	sender := groupWith(&fakeEvidence{own: own})
-	message := sender.newDigest(false)
+	message := sender.newDigest(0)
 	for _, test := range []struct {
 		name    string
 		message digest
@@ -99,7 +99,7 @@
 			if step.name == "restart" {
 				sender = newSender()
 			}
-			message := sender.newDigest(false)
+			message := sender.newDigest(0)
 			time.Sleep(step.delay)
 			received.merged = nil
 			send(t, message, receiver)
--- a/internal/rtpeer/leave_test.go
+++ b/internal/rtpeer/leave_test.go
@@ -45,7 +45,7 @@
 // other cells.
 func (p *leaveProcess) sendTo(t *testing.T, other *leaveProcess, ownCell bool) {
 	t.Helper()
-	message := p.group.newDigest(true)
+	message := p.group.newDigest(maxListedPeers)
 	if !ownCell {
 		message = message.forOtherCells()
 	}
--- a/internal/rtpeer/limit_test.go
+++ b/internal/rtpeer/limit_test.go
@@ -90,7 +90,7 @@
 // exchange sends the digest of a process to its peers.
 func (f *limitFleet) exchange(p *limitProcess) {
 	ownCell, otherCells := p.group.peerAddresses()
-	message := p.group.newDigest(p.round%peerListRounds == 0 || p.group.newPeer.Swap(false))
+	message := p.group.newDigest(p.group.listedNow(p.round))
 	f.deliver(message, ownCell)
 	if p.round%otherCellRounds == 0 {
 		f.deliver(message.forOtherCells(), otherCells)
--- a/internal/rtpeer/malformed_test.go
+++ b/internal/rtpeer/malformed_test.go
@@ -119,7 +119,7 @@
 		g.options.Evidence, g.options.Limits, g.options.Leaves = r, r, r
 		g.applyDigest(message)
 		g.assignCells(time.Now())
-		if _, err := json.Marshal(g.newDigest(true)); err != nil {
+		if _, err := json.Marshal(g.newDigest(maxListedPeers)); err != nil {
 			t.Errorf("own digest cannot be encoded afterwards: %v", err)
 		}
 		sound := digestFrom(3, 7, 0)
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -77,8 +77,12 @@
 	maxContactAge = 2500 * time.Millisecond
 	// unknownAge is the age that a process reports if the store never answered it.
 	unknownAge = -1
-	// maxListedPeers is how many peers a digest lists at most.
+	// maxListedPeers is how many peers a digest lists at most: after a new peer was
+	// heard, which may know few others.
 	maxListedPeers = 40
+	// sampledPeers is how many peers every peerListRounds-th digest lists besides, so
+	// that processes learn of one another that have missed the other lists.
+	sampledPeers = 6
 )
 
 // LoadExchange is the part of a gateway whose loads and cooldowns peers exchange.
--- a/internal/rtpeer/restore_test.go
+++ b/internal/rtpeer/restore_test.go
@@ -282,7 +282,7 @@
 	time.Sleep(digestInterval)
 	f.lapse()
 	for _, p := range f.processes {
-		data, err := json.Marshal(p.group.newDigest(true))
+		data, err := json.Marshal(p.group.newDigest(maxListedPeers))
 		if err != nil {
 			f.t.Fatal(err)
 		}
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -1,13 +1,17 @@
 package rtpeer
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -254,8 +258,27 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	counted := &countingWriter{Writer: w}
-	if err := json.NewEncoder(counted).Encode(delta); err != nil {
+	if err := encodeState(counted, w.Header(), r, delta); err != nil {
 		g.log.Info("State requested by a peer cannot be sent.", "error", err.Error())
 	}
 	g.traffic.record(kind, counted.bytes)
 }
+
+// compressors are reused because each has about a megabyte.
+var compressors = sync.Pool{New: func() any {
+	compressor, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed) // fails for unknown levels only
+	return compressor
+}}
+
+// encodeState writes a state, compressed if the peer accepts that. Configurations
+// consist of names that repeat, so a change takes a fraction of its size.
+func encodeState(w io.Writer, header http.Header, r *http.Request, delta rtfeed.Delta) error {
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		return json.NewEncoder(w).Encode(delta)
+	}
+	header.Set("Content-Encoding", "gzip")
+	compressor := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(compressor)
+	compressor.Reset(w)
+	return errors.Join(json.NewEncoder(compressor).Encode(delta), compressor.Close())
+}
