Announce new views by the readers only, and encode digests in binary

Change: a process announces a new view at once only if it reads the store; others name it in their next digest. A process says which encodings it reads; two that know protobuf use it, so neighbours of the version before are understood and understand.

Ruled out: changes that arrive later (TestChangesBesideDeadPeers as before, 1.75 s at most).

--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -172,6 +172,9 @@
 	}
 }
 
+// Reader reports whether this process reads the store itself.
+func (f *Feed) Reader() bool { return f.reader.Load() }
+
 // View returns the current view, or nil before the first update.
 func (f *Feed) View() *rtcatalog.View { return f.view.Load() }
 
--- a/internal/rtpeer/catchup_test.go
+++ b/internal/rtpeer/catchup_test.go
@@ -68,14 +68,15 @@
 			if f.dark[i] {
 				continue
 			}
+			changed := false
 			select {
 			case <-p.feed.Changed():
+				changed = p.feed.Reader()
 			default:
-				if time.Now().Before(f.next[i]) {
-					continue
-				}
 			}
-			f.send(i)
+			if changed || !time.Now().Before(f.next[i]) {
+				f.send(i)
+			}
 		}
 	}
 }
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
@@ -36,6 +34,7 @@
 	Evidence   []reportedEvidence           `json:"evidence,omitempty"`
 	Limits     []reportedLimit              `json:"limits,omitempty"`  // named by targets to the sender
 	Leaving    []rtid.TargetIncarnation     `json:"leaving,omitempty"` // at most maxReportedLeaves
+	Codec      int                          `json:"codec,omitempty"`   // latest encoding that the sender reads
 }
 
 // reportedLoad is the encoding of a load in a digest: requests, interactive
@@ -61,7 +60,8 @@
 }
 
 // sendDigests sends digests until the context ends: at intervals, and at once
-// after TriggerDigest and after a new view of the feed.
+// after TriggerDigest and, if this process reads the store, after a new view of the
+// feed.
 func (g *Group) sendDigests(ctx context.Context, socket *net.UDPConn) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -75,6 +75,10 @@
 		case <-g.sendNow:
 			kind = newsDigest
 		case <-g.options.Feed.Changed():
+			if !g.options.Feed.Reader() {
+				// The processes that read the store have told all others, too.
+				continue
+			}
 			kind = viewDigest
 		}
 		ownCell, otherCells := g.peerAddresses()
@@ -138,6 +142,7 @@
 		Start:   rtid.NewIncarnation(g.started),
 		Sent:    time.Since(g.started).Milliseconds(),
 		Loads:   make(map[rtid.Target]reportedLoad),
+		Codec:   binaryCodec,
 	}
 	if view := g.options.Feed.View(); view != nil {
 		message.StoreRevision = g.options.Feed.Revision()
@@ -164,25 +169,40 @@
 	return message
 }
 
-// sendTo sends a digest to each of the peers.
+// sendTo sends a digest to each of the peers, in an encoding that the peer reads.
 func (g *Group) sendTo(socket *net.UDPConn, peers []rtid.Address, message digest, kind messageKind) {
-	data, err := json.Marshal(message)
-	if err != nil || len(data) > maxDigestBytes {
-		g.log.Error(err, "Digest not sent because it cannot be encoded or is too large, peers do not receive the loads of this process.", "bytes", len(data))
-		return
-	}
+	var encoded [binaryCodec + 1][]byte
 	for _, address := range peers {
+		codec := g.codecOf(address)
+		if encoded[codec] == nil {
+			data, err := encodeDigest(message, codec)
+			if err != nil || len(data) > maxDigestBytes {
+				g.log.Error(err, "Digest not sent because it cannot be encoded or is too large, peers do not receive the loads of this process.", "bytes", len(data))
+				return
+			}
+			encoded[codec] = data
+		}
 		resolved, err := net.ResolveUDPAddr("udp", string(address))
 		if err != nil {
 			g.log.Error(err, "Digest not sent because the address of the peer cannot be resolved.", "peer", address)
 			continue
 		}
-		if _, err := socket.WriteToUDP(data, resolved); err != nil {
+		if _, err := socket.WriteToUDP(encoded[codec], resolved); err != nil {
 			g.log.V(1).Info("Digest not sent because the write to the socket failed.", "peer", address, "error", err.Error())
 			continue
 		}
-		g.traffic.record(kind, len(data))
+		g.traffic.record(kind, len(encoded[codec]))
+	}
+}
+
+// codecOf returns the encoding of digests to a peer.
+func (g *Group) codecOf(address rtid.Address) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.peers[address]; p != nil && p.binary {
+		return binaryCodec
 	}
+	return jsonCodec
 }
 
 // livePeers returns the addresses of live peers, at most a number of them, which
@@ -199,34 +219,6 @@
 	return live
 }
 
-// maxVMName is the longest name of a VM in bytes that is taken for one.
-const maxVMName = 200
-
-// decodeDigest returns the digest in a message. It returns an error for one that no
-// process of the deployment sends. Listed peers without an address are dropped.
-func decodeDigest(data []byte) (digest, error) {
-	var message digest
-	if err := json.Unmarshal(data, &message); err != nil {
-		return digest{}, err
-	}
-	if message.VM == "" || len(message.VM) > maxVMName {
-		return digest{}, fmt.Errorf("name of the VM has %d bytes, want 1 to %d", len(message.VM), maxVMName)
-	}
-	if !validAddress(message.Address) {
-		return digest{}, fmt.Errorf("address %.80q is not that of a process", message.Address)
-	}
-	message.Peers = slices.DeleteFunc(message.Peers, func(a rtid.Address) bool { return !validAddress(a) })
-	message.Peers = message.Peers[:min(len(message.Peers), maxListedPeers)]
-	return message, nil
-}
-
-// validAddress reports whether an address can be that of a process. A name would be
-// looked up each time a digest is sent to it.
-func validAddress(address rtid.Address) bool {
-	parsed, err := netip.ParseAddrPort(string(address))
-	return err == nil && parsed.Port() != 0 && !parsed.Addr().IsUnspecified() && !parsed.Addr().IsMulticast()
-}
-
 const (
 	// dropLogInterval is the shortest time between two log lines about dropped
 	// messages of one sender.
@@ -314,6 +306,7 @@
 	now := time.Now()
 	p.vm, p.lastDigest, p.revision, p.storeContact = message.VM, now, message.StoreRevision, time.Time{}
 	p.version, p.kept = message.Version, message.Kept
+	p.binary = message.Codec >= binaryCodec
 	if message.ContactAge != unknownAge {
 		p.storeContact = now.Add(-time.Duration(message.ContactAge) * time.Millisecond)
 	}
--- a/internal/rtpeer/malformed_test.go
+++ b/internal/rtpeer/malformed_test.go
@@ -109,6 +109,15 @@
 	f.Add(`{"vm":"vm1","address":"10.0.0.1:80","start":5,"sent":100,"era":1,"revision":9,"age":-1,"loads":{"i-1":[1,2,3,4,5]},"avoid":{"i-1":300},` +
 		`"evidence":[{"part":"a","crashes":{"i-1":[100]},"age":5}],"limits":[{"target":"i-1","born":2,"rate":1.5,"sent":5,"heard":3}],"leaving":[{"target":"i-1","born":2}]}`)
 	f.Add(`{"vm":"vm1","address":"10.0.0.1:80","sent":-9223372036854775808,"age":9223372036854775807,"avoid":{"":-9223372036854775808},"limits":[{"target":"x","rate":1e308,"sent":9223372036854775807}]}`)
+	sound, err := encodeDigest(digest{
+		VM: "vm1", Address: addressOf(1), Sent: 5, Loads: map[rtid.Target]reportedLoad{"i-1": {1, 2, 3, 4, 5}},
+		Evidence: []reportedEvidence{{Part: "a", Crashes: reportedCrashes{"i-1": {5}}}}, Limits: []reportedLimit{{Rate: 1}},
+	}, binaryCodec)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(string(sound))
+	f.Add(string(sound[:len(sound)-3]))
 	f.Fuzz(func(t *testing.T, text string) {
 		message, err := decodeDigest([]byte(text))
 		if err != nil {
@@ -119,8 +128,10 @@
 		g.options.Evidence, g.options.Limits, g.options.Leaves = r, r, r
 		g.applyDigest(message)
 		g.assignCells(time.Now())
-		if _, err := json.Marshal(g.newDigest(maxListedPeers)); err != nil {
-			t.Errorf("own digest cannot be encoded afterwards: %v", err)
+		for codec := range binaryCodec + 1 {
+			if _, err := encodeDigest(g.newDigest(maxListedPeers), codec); err != nil {
+				t.Errorf("own digest cannot be encoded afterwards: %v", err)
+			}
 		}
 		sound := digestFrom(3, 7, 0)
 		g.applyDigest(sound)
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -178,6 +178,7 @@
 	storeContact time.Time    // last response from the store that it reported; zero for none
 	aheadSince   time.Time    // since when its revision is above the own one; zero if it is not
 	delays       delayEstimate
+	binary       bool // reads binaryCodec
 	loggedAlive  bool // the last log line about it says that it is alive
 	otherCell    bool // belongs to another cell
 }
--- a/internal/rtpeer/traffic_test.go
+++ b/internal/rtpeer/traffic_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +64,90 @@
 		}
 	})
 }
+
+// testDigest returns a digest with every field, as a loaded gateway of the large site
+// sends it: 20 targets with loads.
+func testDigest() digest {
+	d := digest{
+		VM: "edge-whk-d-4", Address: "10.4.0.16:7560", Start: 1796412091732, Sent: 51234,
+		StoreRevision: rtid.StoreRevision{Era: 2, Number: 1204}, Version: 35, Kept: 0xfedcba9876543210, ContactAge: unknownAge,
+		Peers: []rtid.Address{"10.1.0.12:7560", "[fd00::1]:7560"}, Loads: make(map[rtid.Target]reportedLoad),
+		Cooldowns: map[rtid.Target]int64{"i-3": 300},
+		Evidence:  []reportedEvidence{{Part: "12ca9047f126", Crashes: reportedCrashes{"i-1": {5, 9}}, Refuted: reportedCrashes{"i-2": {0}}, Age: 7}},
+		Limits:    []reportedLimit{{TargetIncarnation: rtid.TargetIncarnation{ID: "i-1", Born: 7}, Rate: 1.1, Sent: 9, Heard: 3}},
+		Leaving:   []rtid.TargetIncarnation{{ID: "i-9", Born: 1796412091732}},
+		Codec:     binaryCodec,
+	}
+	for i := range 20 {
+		d.Loads[rtid.Target(fmt.Sprintf("i-%010x", i*7919))] = reportedLoad{int64(i % 4), int64(i % 3), int64(5 * i), int64(6 * i), int64(40 * i)}
+	}
+	return d
+}
+
+// Guards against a digest that loses something on its way, in either encoding.
+func TestDigestEncodings(t *testing.T) {
+	for codec := range binaryCodec + 1 {
+		data, err := encodeDigest(testDigest(), codec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decodeDigest(data)
+		if err != nil || !reflect.DeepEqual(got, testDigest()) {
+			t.Errorf("encoding %d: got %+v, error %v, want %+v", codec, got, err, testDigest())
+		}
+	}
+}
+
+// Guards against digests that a neighbour of an earlier version cannot read, and
+// against ones that stay in the long encoding although both read the short one.
+func TestDigestsOfOtherVersions(t *testing.T) {
+	g, _ := newTestGroup()
+	if got := g.codecOf(addressOf(1)); got != jsonCodec {
+		t.Errorf("a peer that was not heard gets encoding %d, want JSON", got)
+	}
+	steps := []struct {
+		name  string
+		codec int
+		want  int
+	}{
+		{"earlier version", jsonCodec, jsonCodec},
+		{"this version", binaryCodec, binaryCodec},
+		{"a later version", binaryCodec + 5, binaryCodec},
+		{"started again with an earlier version", jsonCodec, jsonCodec},
+	}
+	for _, step := range steps {
+		message := digestFrom(1, 0, 0)
+		message.Codec = step.codec
+		data, err := json.Marshal(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		received, err := decodeDigest(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.applyDigest(received)
+		if got := g.codecOf(addressOf(1)); got != step.want {
+			t.Errorf("%s: gets encoding %d, want %d", step.name, got, step.want)
+		}
+	}
+}
+
+// The time and the size of a digest, by encoding.
+func BenchmarkDigest(b *testing.B) {
+	for codec := range binaryCodec + 1 {
+		b.Run(fmt.Sprint("encoding ", codec), func(b *testing.B) {
+			d := testDigest()
+			data, err := encodeDigest(d, codec)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(data)), "B")
+			for b.Loop() {
+				if _, err := decodeDigest(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
