Find the loads on a target without asking for each peer

Cause: a placement asked the report of each peer for each engine that it may use: 86 engines and 33 peers on the large site, nearly all without a load there. And digests to other cells went to each process of these every eighth time, however many there are.

Change: the reports are indexed by target. Digests to other cells become rarer with their number, down to every twentieth, of which two are within the time after which a process counts as gone.

--- a/internal/rtpeer/catchup_test.go
+++ b/internal/rtpeer/catchup_test.go
@@ -87,7 +87,7 @@
 	ownCell, otherCells := p.group.peerAddresses()
 	message := p.group.newDigest(p.group.listedNow(f.sent[i]))
 	f.deliver(message, ownCell)
-	if f.sent[i]%otherCellRounds == 0 {
+	if f.sent[i]%roundsToOtherCells(len(otherCells)) == 0 {
 		f.deliver(message.forOtherCells(), otherCells)
 	}
 	f.sent[i]++
--- a/internal/rtpeer/cell.go
+++ b/internal/rtpeer/cell.go
@@ -16,9 +16,13 @@
 	// a digest of each process reaches all others of the cell within a second.
 	cellSize = 30
 	// otherCellRounds is how many digests are sent to the own cell for each one
-	// to other cells. Digests to other cells have no loads and no cooldowns, but
-	// evidence, because a part of a prompt may crash the targets of all cells.
-	otherCellRounds = 8
+	// to other cells, as long as these have at most cellSize processes. With more it
+	// grows in proportion, up to maxOtherCellRounds: the longest time that leaves two
+	// digests within otherCellAliveTimeout. Digests to other cells have no loads and no
+	// cooldowns, but evidence, because a part of a prompt may crash the targets of all
+	// cells.
+	otherCellRounds    = 8
+	maxOtherCellRounds = 20
 	// otherCellAliveTimeout is aliveTimeout for processes of other cells.
 	otherCellAliveTimeout = 30 * time.Second
 )
@@ -56,6 +60,12 @@
 	}
 }
 
+// roundsToOtherCells returns how many digests are sent to the own cell for each one to
+// a number of processes of other cells.
+func roundsToOtherCells(processes int) int {
+	return min(maxOtherCellRounds, otherCellRounds*max(1, processes/cellSize))
+}
+
 // cellHash returns the hash that orders processes for cells.
 func cellHash(vm rtid.VM) uint64 { return xxhash.Sum64String("cell " + string(vm)) }
 
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -84,7 +84,7 @@
 		ownCell, otherCells := g.peerAddresses()
 		message := g.newDigest(g.listedNow(round))
 		g.sendTo(socket, ownCell, message, kind)
-		if round%otherCellRounds == 0 && len(otherCells) > 0 {
+		if round%roundsToOtherCells(len(otherCells)) == 0 && len(otherCells) > 0 {
 			g.sendTo(socket, otherCells, message.forOtherCells(), otherCellDigest)
 		}
 		round++
--- a/internal/rtpeer/limit_test.go
+++ b/internal/rtpeer/limit_test.go
@@ -92,7 +92,7 @@
 	ownCell, otherCells := p.group.peerAddresses()
 	message := p.group.newDigest(p.group.listedNow(p.round))
 	f.deliver(message, ownCell)
-	if p.round%otherCellRounds == 0 {
+	if p.round%roundsToOtherCells(len(otherCells)) == 0 {
 		f.deliver(message.forOtherCells(), otherCells)
 	}
 	p.round++
--- a/internal/rtplacement/loadtracker.go
+++ b/internal/rtplacement/loadtracker.go
@@ -10,13 +10,16 @@
 // peers report. The zero value is empty. It is not safe for concurrent use.
 type LoadTracker struct {
 	local map[rtid.Target]map[*InFlightRequest]bool
-	peers map[rtid.VM]peerReport
+	// peers are the last reports of peers, and placed the loads in them by target. A
+	// placement asks for many targets, each of which few peers have loads on.
+	peers  map[rtid.VM]map[rtid.Target]Load
+	placed map[rtid.Target]map[rtid.VM]peerLoad
 }
 
-// peerReport is the last load report of a peer.
-type peerReport struct {
+// peerLoad is the load that a peer has reported for one target.
+type peerLoad struct {
+	Load
 	received time.Time
-	loads    map[rtid.Target]Load
 }
 
 // peerReportTTL is how long the report of a peer counts. A live peer reports
@@ -81,22 +84,36 @@
 // SetPeerLoads stores the loads that a peer reports of its own requests.
 func (t *LoadTracker) SetPeerLoads(peer rtid.VM, loads map[rtid.Target]Load, now time.Time) {
 	if t.peers == nil {
-		t.peers = make(map[rtid.VM]peerReport)
+		t.peers = make(map[rtid.VM]map[rtid.Target]Load)
+		t.placed = make(map[rtid.Target]map[rtid.VM]peerLoad)
 	}
-	t.peers[peer] = peerReport{received: now, loads: loads}
+	for target := range t.peers[peer] {
+		if _, again := loads[target]; !again {
+			delete(t.placed[target], peer)
+			if len(t.placed[target]) == 0 {
+				delete(t.placed, target)
+			}
+		}
+	}
+	for target, load := range loads {
+		if t.placed[target] == nil {
+			t.placed[target] = make(map[rtid.VM]peerLoad)
+		}
+		t.placed[target][peer] = peerLoad{Load: load, received: now}
+	}
+	t.peers[peer] = loads
 }
 
 // Load returns the load on a target from the requests of all processes.
 func (t *LoadTracker) Load(target rtid.Target, now time.Time) Load {
 	load := t.localLoad(target, now)
-	for _, report := range t.peers {
-		age := now.Sub(report.received)
+	for _, reported := range t.placed[target] {
+		age := now.Sub(reported.received)
 		if age > peerReportTTL {
 			continue
 		}
-		peerLoad := report.loads[target]
-		peerLoad.PrefillBacklog = max(0, peerLoad.PrefillBacklog-age)
-		load = load.Add(peerLoad)
+		reported.PrefillBacklog = max(0, reported.PrefillBacklog-age)
+		load = load.Add(reported.Load)
 	}
 	return load
 }
