Do not send to a target of another service at a listed address

Change: only an earlier entry of the same service counts. An unexpected error of a fetch from a peer counts as no answer, so that it is not waited for.

--- a/internal/rtcatalog/catalog.go
+++ b/internal/rtcatalog/catalog.go
@@ -183,7 +183,7 @@
 
 	instances map[rtid.Service][]*Instance
 	byID      map[rtid.Target]*Instance
-	earlier   map[rtid.Target]*Instance // the next newest instance at the address, by ID
+	earlier   map[rtid.Target]*Instance // the next newest instance of the service at the address, by ID
 }
 
 // NewView returns a view. Of several instances at one address it lists the
@@ -237,8 +237,12 @@
 			v.earlier = make(map[rtid.Target]*Instance)
 		}
 		newest[group[0].Address] = group[0]
-		for i, instance := range group[:len(group)-1] {
-			v.earlier[instance.ID] = group[i+1]
+		for i, instance := range group {
+			// Addresses of targets that have ended are used again by other services.
+			next := slices.IndexFunc(group[i+1:], func(other *Instance) bool { return other.Service == instance.Service })
+			if next >= 0 {
+				v.earlier[instance.ID] = group[i+1+next]
+			}
 		}
 	}
 	return slices.Collect(maps.Values(newest))
@@ -260,8 +264,8 @@
 // Instance returns a target by ID, or nil.
 func (v *View) Instance(id rtid.Target) *Instance { return v.byID[id] }
 
-// Earlier returns the instance whose entry names the same address as a newer one, or
-// nil. It counts if the newer one turns out not to have the address.
+// Earlier returns the instance of the same service whose entry names the same address
+// as a newer one, or nil. It counts if the newer one turns out not to have the address.
 func (v *View) Earlier(instance *Instance) *Instance { return v.earlier[instance.ID] }
 
 // Usable reports whether new work may be sent to a target: whether it is not
--- a/internal/rtgateway/incarnation_test.go
+++ b/internal/rtgateway/incarnation_test.go
@@ -82,3 +82,19 @@
 		}
 	})
 }
+
+// Guards against a request that runs at a target of another service, which had the
+// address of a listed one before, or has it still.
+func TestOtherServiceAtTheAddress(t *testing.T) {
+	withTestbed(t, 1, func(b *testbed) {
+		other := &rtcatalog.Instance{ID: "t0", Born: 1, Service: "other", Address: b.targets[0].address, Zone: "a", Slots: 16}
+		listed := &rtcatalog.Instance{ID: "listed", Born: 2, Service: "work", Address: b.targets[0].address, Zone: "a", Slots: 16}
+		b.mu.Lock()
+		b.view = rtcatalog.NewView(rtid.StoreRevision{Number: 2}, newConfiguration(2), nil, []*rtcatalog.Instance{other, listed})
+		b.mu.Unlock()
+		b.load("/safe/x", 100*time.Millisecond, 5*time.Second)
+		if runs := b.allRuns(); len(runs) > 0 {
+			t.Errorf("%d requests ran at a target of another service", len(runs))
+		}
+	})
+}
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -73,6 +73,8 @@
 	hedgeDelay = 400 * time.Millisecond
 )
 
+var errNoAnswer = errors.New("no answer")
+
 // fetchFirst fetches the state of the first peer that answers. It asks the next one
 // when the last one has failed or not answered for hedgeDelay. Peers that did not
 // answer are left out until their next digest.
@@ -115,9 +117,10 @@
 		next++
 		pending++
 		asked[peer] = rttask.Start(ctx, "fetch state", func(ctx context.Context) error {
-			delta, err := g.fetchState(ctx, peer, after)
-			answers <- answer{peer: peer, delta: delta, err: err}
-			return err
+			a := answer{peer: peer, err: errNoAnswer}
+			defer func() { answers <- a }() // also after an unexpected error
+			a.delta, a.err = g.fetchState(ctx, peer, after)
+			return a.err
 		})
 		timer.Reset(hedgeDelay)
 	}
