Do not leave out a member that was asked as the attempt ended

Cause: TestLargePromptBesideDeadMembers failed 5 times in 1,000. Two members without a reply use up the time of an attempt to reserve memory. If the check of the context came before its timer, the next member, which is alive, was asked with no time left, counted as one without a reply and was left out of the next attempt; the one after that asked the dead ones again.

Change: a member counts as one without a reply only if it had half of the time for one call at least.

--- a/internal/rtagent/group.go
+++ b/internal/rtagent/group.go
@@ -106,7 +106,8 @@
 // memory. A candidate that gives no reply is skipped in the next attempt.
 func (a *Agent) reserveMembers(ctx context.Context, r *request) *groupAttempt {
 	attempt := &groupAttempt{startedAt: time.Now()}
-	ctx, cancel := context.WithDeadline(ctx, attempt.startedAt.Add(reserveTimeout))
+	deadline := attempt.startedAt.Add(reserveTimeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	skipped := r.unresponsive
 	r.unresponsive = make(map[rtid.Target]bool)
@@ -118,13 +119,15 @@
 			continue
 		}
 		member := rtwire.NewTargetProtobufClient("http://"+string(view.Address), a.client)
+		// One that is asked as the attempt ends may be alive.
+		hasTime := time.Until(deadline) >= memberTimeout/2
 		granted, err := a.callReserve(ctx, member, r, r.memberTokens)
 		switch {
 		case granted:
 			attempt.members = append(attempt.members, member)
 		case err != nil:
 			a.log.Info("No reply from a member to a memory reservation.", "member", view.Target, "error", err.Error())
-			r.unresponsive[view.Target] = true
+			r.unresponsive[view.Target] = hasTime
 			attempt.maybeReserved = append(attempt.maybeReserved, member)
 		}
 	}
