Resume a draft at the next entry if one cannot serve yet

Cause: TestDraftResumedPastRefusal, known to fail. A draft whose stream is cut in the middle is resumed at another entry. If that one had no configuration yet, its refusal ended the draft, although the home has the answer.

Change: once an answer has begun, a refusal by the entry itself ("not ready", without the ID of the draft) is followed by the next entry. A refusal by the home, which has the ID, stays final.

--- a/pkg/rtapi/draft.go
+++ b/pkg/rtapi/draft.go
@@ -59,7 +59,7 @@
 				return answer, nil
 			}
 		}
-		if !resumable(err) {
+		if !resumable(err, r.id != "") {
 			return Answer{ID: r.id, Size: r.size}, err
 		}
 		if t.wait(ctx) != nil {
@@ -78,13 +78,15 @@
 }
 
 // resumable reports whether another entry may deliver the rest of the answer. An
-// error response is final, unless it reports that the home could not be reached.
-func resumable(err error) bool {
+// error response is final, unless it reports that the home could not be reached, or,
+// once the answer has begun, that the entry itself cannot serve yet.
+func resumable(err error, begun bool) bool {
 	var failure *Error
 	var write *writeError
 	switch {
 	case errors.As(err, &failure):
-		return failure.Body.Reason == ReasonUnreachable && failure.Body.Outcome == Unknown
+		entryNotReady := begun && failure.Body.Reason == ReasonNotReady && failure.Body.ID == ""
+		return entryNotReady || failure.Body.Reason == ReasonUnreachable && failure.Body.Outcome == Unknown
 	case errors.As(err, &write), errors.Is(err, ErrDamaged), errors.Is(err, errNoEntries):
 		return false
 	default:
