Split long tests

No check has changed: the callers of TestStopUnderLoad, the target of TestBackoffArrivals and steps of two other tests are functions and types of their own, as the linter asks.

--- a/internal/rtgateway/gateway_test.go
+++ b/internal/rtgateway/gateway_test.go
@@ -516,6 +516,48 @@
 	}
 }
 
+// stopCallers send requests one after the other, on connections that they keep or on
+// new ones.
+type stopCallers struct {
+	b     *testbed
+	path  string
+	kept  *http.Transport
+	ended chan struct{} // closed when they stop
+
+	mu     sync.Mutex
+	failed map[string]error // by request
+	served int
+}
+
+// run sends the requests of one caller.
+func (s *stopCallers) run(i int, keep bool) {
+	for n := 0; ; n++ {
+		select {
+		case <-s.ended:
+			return
+		case <-time.After(time.Duration(i+1) * time.Millisecond):
+		}
+		s.send(fmt.Sprint("id-", i, "-", n), keep)
+	}
+}
+
+// send sends one request and records how it ended.
+func (s *stopCallers) send(id string, keep bool) {
+	var got reply
+	if keep {
+		got = s.b.callOver(s.kept, id, s.path)
+	} else {
+		got = s.b.call(http.MethodPost, s.path, headers(id), "body")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got.err != nil {
+		s.failed[id] = got.err
+	} else if got.status == http.StatusOK {
+		s.served++
+	}
+}
+
 // Guards against requests that a planned stop under load cuts off without an answer,
 // although they have been sent to a target: on connections that callers keep, and on
 // new ones up to the moment at which the listener closes.
@@ -524,57 +566,31 @@
 		t.Run(path, func(t *testing.T) {
 			withTestbed(t, 2, func(b *testbed) {
 				const callersOfEach = 15
-				kept := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-					return b.network.Host("10.0.9.8").Dial(ctx, callers)
+				s := &stopCallers{b: b, path: path, ended: make(chan struct{}), failed: make(map[string]error), kept: &http.Transport{
+					DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+						return b.network.Host("10.0.9.8").Dial(ctx, callers)
+					},
 				}}
-				defer kept.CloseIdleConnections()
-				var mu sync.Mutex
-				failed := make(map[string]error)
-				served := 0
-				send := func(id string, keep bool) {
-					var got reply
-					if keep {
-						got = b.callOver(kept, id, path)
-					} else {
-						got = b.call(http.MethodPost, path, headers(id), "body")
-					}
-					mu.Lock()
-					defer mu.Unlock()
-					if got.err != nil {
-						failed[id] = got.err
-					} else if got.status == http.StatusOK {
-						served++
-					}
-				}
+				defer s.kept.CloseIdleConnections()
 				var wg sync.WaitGroup
-				ended := make(chan struct{})
 				for i := range 2 * callersOfEach {
-					wg.Go(func() {
-						for n := 0; ; n++ {
-							select {
-							case <-ended:
-								return
-							case <-time.After(time.Duration(i+1) * time.Millisecond):
-							}
-							send(fmt.Sprint("id-", i, "-", n), i < callersOfEach)
-						}
-					})
+					wg.Go(func() { s.run(i, i < callersOfEach) })
 				}
 				time.Sleep(time.Second)
 				if err := b.stop(); err != nil {
 					t.Error(err)
 				}
-				close(ended)
+				close(s.ended)
 				wg.Wait()
 				reached := 0
 				for _, r := range b.allRuns() {
-					if err, ok := failed[r.request.Header.Get("Id")]; ok {
+					if err, ok := s.failed[r.request.Header.Get("Id")]; ok {
 						reached++
 						t.Logf("%s: %v", r.request.Header.Get("Id"), err)
 					}
 				}
-				if reached > 0 || served < 300 {
-					t.Errorf("%d requests were cut off that had been sent to a target, %d served; want none, and 300 or more", reached, served)
+				if reached > 0 || s.served < 300 {
+					t.Errorf("%d requests were cut off that had been sent to a target, %d served; want none, and 300 or more", reached, s.served)
 				}
 			})
 		})
--- a/internal/rtgateway/notice_test.go
+++ b/internal/rtgateway/notice_test.go
@@ -151,39 +151,47 @@
 		t.Run(test.name+" in "+test.where, func(t *testing.T) {
 			withTestbed(t, 24, func(b *testbed) {
 				useEngineService(b)
-				send := func(prefix string, count int) {
-					for i := range count {
-						// Long prompts need helpers, and the longest ones memory.
-						for _, size := range []string{"5000", "100000", "330000"} {
-							b.call(http.MethodPost, "/stream/x", headers(fmt.Sprint(prefix, size, "-", i), "Size", size), "")
-						}
-					}
-				}
-				send("usual-", 5)
+				b.sendLong("usual-", 5)
 				noticing := slices.MaxFunc(b.targets, func(a, b *target) int { return commandsAt(a) - commandsAt(b) })
-				line, value, _ := strings.Cut(test.notice, ": ")
 				if test.where == reply {
 					noticing.commandHeader = test.notice + "\r\n"
 					noticing.commandStatus = func(string) int { return http.StatusServiceUnavailable }
 				} else {
+					line, value, _ := strings.Cut(test.notice, ": ")
 					noticing.set(withHeader(line, value, refuseNotRun))
 				}
-				send("before-", 30)
+				b.sendLong("before-", 30)
 				from, commands := time.Now(), commandsAt(noticing)
-				send("after-", 30)
+				b.sendLong("after-", 30)
 				if got := commandsAt(noticing) - commands; got > 0 {
 					t.Errorf("%d memory commands, want none", got)
 				}
-				for _, r := range b.allRuns() {
-					if !r.at.Before(from) && (r.target == noticing || r.helpsAt(noticing)) {
-						t.Errorf("%s was sent to %s with helpers %q", r.request.Header.Get("Id"), r.target.id, r.request.Header.Get("Helpers"))
-					}
-				}
+				b.checkNotUsed(noticing, from)
 			})
 		})
 	}
 }
 
+// sendLong sends prompts of three lengths, a number of each: long ones need helpers, and
+// the longest ones memory.
+func (b *testbed) sendLong(prefix string, count int) {
+	for i := range count {
+		for _, size := range []string{"5000", "100000", "330000"} {
+			b.call(http.MethodPost, "/stream/x", headers(fmt.Sprint(prefix, size, "-", i), "Size", size), "")
+		}
+	}
+}
+
+// checkNotUsed checks that a target has got no requests since a time, and no parts of
+// others.
+func (b *testbed) checkNotUsed(unused *target, from time.Time) {
+	for _, r := range b.allRuns() {
+		if !r.at.Before(from) && (r.target == unused || r.helpsAt(unused)) {
+			b.t.Errorf("%s was sent to %s with helpers %q", r.request.Header.Get("Id"), r.target.id, r.request.Header.Get("Helpers"))
+		}
+	}
+}
+
 // backingOff returns a script that refuses each request and asks for a pause. It
 // records in ends when each pause ends.
 func backingOff(b *testbed, wish func() time.Duration, ends *[]pauseWish) script {
--- a/internal/rtnotice/notice_test.go
+++ b/internal/rtnotice/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,7 +86,7 @@
 				var backoffs Backoffs
 				start := time.Now()
 				for _, w := range test.wishes {
-					time.Sleep(start.Add(w.after).Sub(time.Now()))
+					time.Sleep(time.Until(start.Add(w.after)))
 					backoffs.Record(target, w.length, time.Now())
 				}
 				if backoffs.Remaining(other, time.Now()) > 0 {
@@ -94,7 +95,7 @@
 				if got := time.Since(start) + backoffs.Remaining(target, time.Now()); got != test.end {
 					t.Errorf("the pause ends after %v, want %v", got, test.end)
 				}
-				time.Sleep(start.Add(test.end).Sub(time.Now()))
+				time.Sleep(time.Until(start.Add(test.end)))
 				if got := backoffs.Remaining(target, time.Now()); got > 0 {
 					t.Errorf("the pause lasts %v longer, want it over", got)
 				}
@@ -107,6 +108,56 @@
 	}
 }
 
+// pausingTarget asks for pauses, by responses that take a while and overtake each other.
+type pausingTarget struct {
+	random   *rand.Rand
+	arrivals []time.Time
+	ends     []time.Time // of the pause that each of the arrivals was answered with
+	pending  []pauseResponse
+}
+
+// pauseResponse is a response that is on its way.
+type pauseResponse struct {
+	at   time.Time
+	wish time.Duration
+}
+
+// arrive answers a request that arrives now.
+func (p *pausingTarget) arrive(now time.Time) {
+	wish := time.Duration(p.random.IntN(6000)) * time.Millisecond
+	p.arrivals, p.ends = append(p.arrivals, now), append(p.ends, now.Add(wish))
+	p.pending = append(p.pending, pauseResponse{at: now.Add(time.Duration(p.random.IntN(400)) * time.Millisecond), wish: wish})
+}
+
+// deliver returns the wishes of the responses that have been received by now.
+func (p *pausingTarget) deliver(now time.Time) []time.Duration {
+	var wishes []time.Duration
+	p.pending = slices.DeleteFunc(p.pending, func(r pauseResponse) bool {
+		received := !now.Before(r.at)
+		if received {
+			wishes = append(wishes, r.wish)
+		}
+		return received
+	})
+	return wishes
+}
+
+// worst returns the most requests that arrived in one pause, from notice after it was
+// asked for.
+func (p *pausingTarget) worst(notice time.Duration) int {
+	most := 0
+	for i, asked := range p.arrivals {
+		count := 0
+		for _, at := range p.arrivals {
+			if at.Sub(asked) > notice && at.Before(p.ends[i]) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
 // Guards against more than two requests within a pause that a target has asked for:
 // one process sends whenever it may, responses take up to 400 ms and overtake each
 // other.
@@ -117,43 +168,20 @@
 	)
 	for seed := range uint64(30) {
 		synctest.Test(t, func(t *testing.T) {
-			random := rand.New(rand.NewPCG(seed, 0))
 			var backoffs Backoffs
-			var arrivals, asked []time.Time
-			var ends []time.Time
-			type response struct {
-				at   time.Time
-				wish time.Duration
-			}
-			var pending []response
-			target := rtid.TargetIncarnation{ID: "i-1"}
+			target := &pausingTarget{random: rand.New(rand.NewPCG(seed, 0))}
+			id := rtid.TargetIncarnation{ID: "i-1"}
 			for begun := time.Now(); time.Since(begun) < time.Minute; time.Sleep(10 * time.Millisecond) {
 				now := time.Now()
-				for i := 0; i < len(pending); i++ {
-					if !now.Before(pending[i].at) {
-						backoffs.Record(target, pending[i].wish, now)
-						pending = append(pending[:i], pending[i+1:]...)
-						i--
-					}
+				for _, wish := range target.deliver(now) {
+					backoffs.Record(id, wish, now)
 				}
-				if backoffs.Remaining(target, now) > 0 {
-					continue
+				if backoffs.Remaining(id, now) == 0 {
+					target.arrive(now)
 				}
-				arrivals = append(arrivals, now)
-				wish := time.Duration(random.IntN(6000)) * time.Millisecond
-				asked, ends = append(asked, now), append(ends, now.Add(wish))
-				pending = append(pending, response{at: now.Add(time.Duration(random.IntN(400)) * time.Millisecond), wish: wish})
 			}
-			for i := range asked {
-				count := 0
-				for _, at := range arrivals {
-					if at.Sub(asked[i]) > notice && at.Before(ends[i]) {
-						count++
-					}
-				}
-				if count > allowed {
-					t.Errorf("seed %d: %d requests in a pause, want at most %d", seed, count, allowed)
-				}
+			if got := target.worst(notice); got > allowed {
+				t.Errorf("seed %d: %d requests in a pause, want at most %d", seed, got, allowed)
 			}
 		})
 	}
--- a/internal/rtpeer/catchup_test.go
+++ b/internal/rtpeer/catchup_test.go
@@ -51,6 +51,19 @@
 	f.network.Isolate(hostOf(processAddress(i)))
 }
 
+// darkenAll cuts the processes off for which dies is true.
+func (f *catchUpFleet) darkenAll(dies func(f *catchUpFleet, i int) bool) {
+	var dying []int
+	for i := range f.processes {
+		if dies(f, i) {
+			dying = append(dying, i)
+		}
+	}
+	for _, i := range dying {
+		f.darken(i)
+	}
+}
+
 // heal ends all cuts, so that the connections end.
 func (f *catchUpFleet) heal() {
 	for i, dark := range f.dark {
@@ -158,26 +171,15 @@
 				t.Parallel()
 				withCatchUpFleet(t, seed, test.processes, func(f *catchUpFleet) {
 					f.run(6 * time.Second)
-					die := func() {
-						var dying []int
-						for i := range f.processes {
-							if test.dies(f, i) {
-								dying = append(dying, i)
-							}
-						}
-						for _, i := range dying {
-							f.darken(i)
-						}
-					}
 					if test.after < 0 {
-						die()
+						f.darkenAll(test.dies)
 						f.run(-test.after)
 					}
 					f.configure()
 					changed := time.Now()
 					if test.after >= 0 {
 						f.run(test.after)
-						die()
+						f.darkenAll(test.dies)
 					}
 					f.lag(f.version, 2*test.bound)
 					// A request may come a moment after the change is due.
