Let no connection outlive the kill of a host in the in-memory network

A dial in between was accepted, was not in the list and stayed open for good. In the test the gateway dials a target right after its connection broke to see whether it has crashed; such a connection said that the target lives, so the request was repeated. Close had the same gap.

Ruled out: the gateway. No process of a kernel keeps a connection after it has been killed, so staysOpen and targetCrashed are right to believe it.

Change: listeners are taken out together with the listing of the connections.

--- a/internal/rtfake/fault.go
+++ b/internal/rtfake/fault.go
@@ -72,7 +72,10 @@
 // Kill closes the listeners and connections of a host, as the kernel does
 // for a killed process. The host can listen and dial afterwards.
 func (n *Network) Kill(host string) {
-	listeners, connections := n.endpointsOf(host)
+	n.mu.Lock()
+	listeners, connections := n.endpointsLocked(host)
+	n.refuseDialsLocked(listeners)
+	n.mu.Unlock()
 	closeAll(listeners, connections)
 }
 
@@ -83,11 +86,21 @@
 	n.closed = true
 	listeners := slices.Collect(maps.Values(n.listeners))
 	connections := slices.Collect(maps.Keys(n.connections))
+	n.refuseDialsLocked(listeners)
 	n.mu.Unlock()
 	closeAll(listeners, connections)
 	n.wakeAll()
 }
 
+// refuseDialsLocked lets later dials to the listeners fail. It must happen together
+// with listing the connections that will be closed: one that is opened in between
+// would stay open.
+func (n *Network) refuseDialsLocked(listeners []*listener) {
+	for _, l := range listeners {
+		delete(n.listeners, l.key)
+	}
+}
+
 func closeAll(listeners []*listener, connections []*connection) {
 	for _, l := range listeners {
 		// Close of an in-memory listener returns no error.
@@ -100,14 +113,14 @@
 
 // Connections returns the number of open connections of a host.
 func (n *Network) Connections(host string) int {
-	_, connections := n.endpointsOf(host)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, connections := n.endpointsLocked(host)
 	return len(connections)
 }
 
-// endpointsOf returns the listeners and connection endpoints of a host.
-func (n *Network) endpointsOf(host string) ([]*listener, []*connection) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+// endpointsLocked returns the listeners and connection endpoints of a host.
+func (n *Network) endpointsLocked(host string) ([]*listener, []*connection) {
 	state := n.hostLocked(host)
 	var listeners []*listener
 	for _, l := range n.listeners {
