--- a/internal/rtfake/network_test.go
+++ b/internal/rtfake/network_test.go
@@ -307,40 +307,10 @@
 // Guards against a connection that is opened while its host is killed and stays
 // open: a target that has crashed would look alive to whoever opened it.
 func TestKillBesideDials(t *testing.T) {
-	const rounds, dialers = 500, 4
+	const rounds = 500
 	bubble(t, func(t *testing.T, network *Network) {
 		for round := range rounds {
-			listener, err := network.Listen(portB)
-			if err != nil {
-				t.Fatal(err)
-			}
-			accepting := rttask.Start(t.Context(), "accept", func(context.Context) error {
-				for {
-					if _, err := listener.Accept(); err != nil {
-						return nil
-					}
-				}
-			})
-			dialed := make([][]net.Conn, dialers)
-			var dialing []*rttask.Task
-			for i := range dialers {
-				dialing = append(dialing, rttask.Start(t.Context(), "dial", func(ctx context.Context) error {
-					for {
-						c, err := network.Host(hostA).Dial(ctx, portB)
-						if err != nil {
-							return nil // the host has been killed
-						}
-						dialed[i] = append(dialed[i], c)
-					}
-				}))
-			}
-			network.Kill(hostB)
-			for _, task := range append(dialing, accepting) {
-				if err := <-task.Done(); err != nil {
-					t.Fatal(err)
-				}
-			}
-			for _, c := range slices.Concat(dialed...) {
+			for _, c := range dialUntilKilled(t, network) {
 				if err := c.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
 					t.Fatal(err)
 				}
@@ -353,6 +323,41 @@
 	})
 }
 
+// dialUntilKilled kills host B while others open connections to it, and returns these.
+func dialUntilKilled(t *testing.T, network *Network) []net.Conn {
+	const callers = 4
+	listener, err := network.Listen(portB)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tasks := []*rttask.Task{rttask.Start(t.Context(), "accept", func(context.Context) error {
+		for {
+			if _, err := listener.Accept(); err != nil {
+				return nil
+			}
+		}
+	})}
+	opened := make([][]net.Conn, callers)
+	for i := range callers {
+		tasks = append(tasks, rttask.Start(t.Context(), "dial", func(ctx context.Context) error {
+			for {
+				c, err := network.Host(hostA).Dial(ctx, portB)
+				if err != nil {
+					return nil // the host has been killed
+				}
+				opened[i] = append(opened[i], c)
+			}
+		}))
+	}
+	network.Kill(hostB)
+	for _, task := range tasks {
+		if err := <-task.Done(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return slices.Concat(opened...)
+}
+
 // Guards against connections that stay open after their process was killed, and
 // against a reset that arrives through a cut link.
 func TestKill(t *testing.T) {
