Remember a leave that a full read shows during the recovery

An entry that is missing then may have been lost by the copy, so its removal waited for 2.2 s and was not remembered; the next return, 0.35 s later, brought t3 back for 6 s. But the entry was of the era of that read: it had been there after the return, and was removed since. The same distinction was already made outside the recovery.

Ruled out: the order of the two returns, and the restarted peer; it has to read the copy, and had no t3 either.

Change: one function says whether a copy may have lost an item, for both cases.

TestLeaveInFullReadDuringRecovery: red before ("left after the return"), green after; its second case, an entry that the copy had lost, is followed before and after.

--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -141,7 +141,7 @@
 type unconfirmedRemoval struct {
 	revision rtid.StoreRevision // of the removal
 	due      time.Time          // when the removal is applied
-	lacking  bool               // of an item that a full read lacks
+	lacking  bool               // of an item that the copy from which the store came back may have lost
 }
 
 // New returns a feed with an empty state. Run reads the store unless SetReader
@@ -435,13 +435,12 @@
 			if change.ConfirmationTime > 0 {
 				due = now.Add(change.ConfirmationTime)
 			}
-			f.unconfirmed[change.Key] = unconfirmedRemoval{revision: change.Revision, due: due, lacking: change.Lacking}
+			f.unconfirmed[change.Key] = unconfirmedRemoval{revision: change.Revision, due: due, lacking: f.lostByCopy(change)}
 		}
 		f.history.add(change)
 		return false
 	}
-	left := !change.Lacking || f.state.Items[change.Key].Revision.Era == change.Revision.Era
-	if !f.apply(change, left, now) {
+	if !f.apply(change, !f.lostByCopy(change), now) {
 		return false
 	}
 	delete(f.unconfirmed, change.Key)
@@ -449,6 +448,13 @@
 	return true
 }
 
+// lostByCopy reports whether an item is lacking because the copy from which the store
+// came back is older than the item. One of the era in which it is lacking has been
+// removed since the return. The caller holds mu.
+func (f *Feed) lostByCopy(change Change) bool {
+	return change.Lacking && f.state.Items[change.Key].Revision.Era != change.Revision.Era
+}
+
 // uncertain reports whether a lease that expired during an outage may have caused a
 // removal. The caller holds mu.
 func (f *Feed) uncertain(change Change, now time.Time) bool {
--- a/internal/rtfeed/feed_test.go
+++ b/internal/rtfeed/feed_test.go
@@ -351,6 +351,50 @@
 	}
 }
 
+// Guards against a target that had left and gets requests again, because the process
+// learned of the leave from a full read in which a missing entry may also be late, and
+// the store then returned from a copy once more. An entry that the first copy had lost
+// may be that of a live target and is followed.
+func TestLeaveInFullReadDuringRecovery(t *testing.T) {
+	const entry = 3 // the revision of the entry in all eras
+	tests := []struct {
+		name   string
+		copied bool // the first copy has the entry
+		want   string
+	}{
+		{"left after the return", true, ""},
+		{"lost by the copy", false, "t1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				feed := New(newFakeStore(), keyDecoder{}, logr.Discard())
+				fullRead := func(era, revision uint64, has bool) {
+					delta := Delta{Revision: rtid.StoreRevision{Era: era, Number: revision}, Full: true}
+					if has {
+						item := Item{Key: "t1", Revision: rtid.StoreRevision{Era: era, Number: entry}}
+						delta.Changes = []Change{{Item: item}}
+					}
+					feed.ApplyPeerDelta(delta, "peer")
+				}
+				fullRead(1, 5, true)
+				fullRead(2, 4, test.copied)
+				time.Sleep(leaseRecoveryTime / 4)
+				fullRead(2, 6, false)
+				time.Sleep(leaseRecoveryTime)
+				feed.applyDue(time.Now())
+				if got := keys(feed); got != "" {
+					t.Fatalf("items %q after the recovery, want none", got)
+				}
+				fullRead(3, 4, true)
+				if got := keys(feed); got != test.want {
+					t.Errorf("items %q after the second return, want %q", got, test.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against states that differ between processes at the same revision, and
 // against a revision that decreases. Three processes apply random changes from a
 // store that drops its history, and from each other.
