Drop states and answers of the store with revisions out of range

Cause: revisions, eras and times in them were believed. After revision no later one counts, so the process stopped following its peers; an item at that revision hid all later changes of its key; a removal could ask to stay unconfirmed for centuries; a page that named itself as its successor was read again without an end or a pause, and all copies of its items were kept; a refusal of a peer with a body like a state was applied.

Ruled out: odd values of items (TestOddEntries), deep nesting and numbers beyond float64, which fail to decode before and after.

Change: revisions beyond 2^53 - 1, which not all readers of JSON represent, make a digest, a state or an answer of the store malformed: it is dropped like one that does not decode. A removal waits at most for the time that owners need to write again. States are taken from answers with status 200 only.

--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -31,6 +31,14 @@
 	Created  rtid.StoreRevision `json:"created"`  // of the creation
 }
 
+// Check returns an error if a revision of the item cannot be that of a store.
+func (i *Item) Check() error {
+	if !i.Revision.Valid() || !i.Created.Valid() {
+		return fmt.Errorf("item %.200q: revision %v or %v is out of range", i.Key, i.Revision, i.Created)
+	}
+	return nil
+}
+
 // Change is the write or the removal of an item.
 type Change struct {
 	Item
@@ -433,7 +441,7 @@
 		if _, recorded := f.unconfirmed[change.Key]; !recorded {
 			due := f.recoveredAt.Add(leaseRecoveryTime)
 			if change.ConfirmationTime > 0 {
-				due = now.Add(change.ConfirmationTime)
+				due = now.Add(min(change.ConfirmationTime, leaseRecoveryTime))
 			}
 			f.unconfirmed[change.Key] = unconfirmedRemoval{revision: change.Revision, due: due, lacking: f.lostByCopy(change)}
 		}
--- a/internal/rtfeed/state.go
+++ b/internal/rtfeed/state.go
@@ -1,6 +1,7 @@
 package rtfeed
 
 import (
+	"fmt"
 	"maps"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -72,6 +73,25 @@
 	Kept     []KeptItem         `json:"kept,omitempty"` // in place of items of the store
 }
 
+// Check returns an error if the revision of the delta or of one of its items cannot be
+// that of a store.
+func (d *Delta) Check() error {
+	if !d.Revision.Valid() {
+		return fmt.Errorf("revision %v is out of range", d.Revision)
+	}
+	for i := range d.Changes {
+		if err := d.Changes[i].Check(); err != nil {
+			return err
+		}
+	}
+	for i := range d.Kept {
+		if err := d.Kept[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // maxHistory is how many changes are kept for peers. A peer that needs older
 // ones gets all items.
 const maxHistory = 512
--- a/internal/rtid/storerevision.go
+++ b/internal/rtid/storerevision.go
@@ -12,6 +12,14 @@
 	Number uint64 `json:"revision"`      // increases with each change in an era
 }
 
+// maxRevision is the highest number that all readers of JSON represent exactly. No store
+// gets there.
+const maxRevision = 1<<53 - 1
+
+// Valid reports whether r can be the revision of a store. After one that cannot, no
+// real one would count as later.
+func (r StoreRevision) Valid() bool { return r.Era <= maxRevision && r.Number <= maxRevision }
+
 // Compare returns -1, 0 or 1 if r is before, the same as or after other.
 func (r StoreRevision) Compare(other StoreRevision) int {
 	return cmp.Or(cmp.Compare(r.Era, other.Era), cmp.Compare(r.Number, other.Number))
--- a/internal/rtpeer/state.go
+++ b/internal/rtpeer/state.go
@@ -233,10 +233,22 @@
 	}
 	// An error of Close does not matter once the state is decoded.
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return rtfeed.Delta{}, fmt.Errorf("fetch state: answered %d", response.StatusCode)
+	}
+	return decodeState(response.Body)
+}
+
+// decodeState reads a state. It returns an error for one that no process of the
+// deployment sends.
+func decodeState(r io.Reader) (rtfeed.Delta, error) {
 	var delta rtfeed.Delta
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&delta); err != nil {
+	if err := json.NewDecoder(io.LimitReader(r, maxStateBytes)).Decode(&delta); err != nil {
 		return rtfeed.Delta{}, fmt.Errorf("decode state: %w", err)
 	}
+	if err := delta.Check(); err != nil {
+		return rtfeed.Delta{}, fmt.Errorf("state: %w", err)
+	}
 	return delta, nil
 }
 
