--- a/internal/rtpeer/codec.go
+++ b/internal/rtpeer/codec.go
@@ -58,8 +58,8 @@
 	if !validAddress(message.Address) {
 		return digest{}, fmt.Errorf("address %.80q is not that of a process", message.Address)
 	}
-	if !message.StoreRevision.Valid() {
-		return digest{}, fmt.Errorf("revision %v is out of range", message.StoreRevision)
+	if revision := message.StoreRevision; !revision.Valid() {
+		return digest{}, fmt.Errorf("revision %v is out of range", revision)
 	}
 	message.Peers = slices.DeleteFunc(message.Peers, func(a rtid.Address) bool { return !validAddress(a) })
 	message.Peers = message.Peers[:min(len(message.Peers), maxListedPeers)]
