Drop states with items of a later era than their own

Found by FuzzState after 4 s. Cause: a state at era 0 with an item of era 2 was applied; the item then hid what the store wrote in era 1. No process sends such a state: items have the era of the read that returned them.

--- a/internal/rtfeed/state.go
+++ b/internal/rtfeed/state.go
@@ -74,7 +74,7 @@
 }
 
 // Check returns an error if the revision of the delta or of one of its items cannot be
-// that of a store.
+// that of a store, or if an item is of a later era than the delta.
 func (d *Delta) Check() error {
 	if !d.Revision.Valid() {
 		return fmt.Errorf("revision %v is out of range", d.Revision)
@@ -83,6 +83,9 @@
 		if err := d.Changes[i].Check(); err != nil {
 			return err
 		}
+		if d.Changes[i].Revision.Era > d.Revision.Era {
+			return fmt.Errorf("item %.200q at revision %v is of a later era than the state, %v", d.Changes[i].Key, d.Changes[i].Revision, d.Revision)
+		}
 	}
 	for i := range d.Kept {
 		if err := d.Kept[i].Check(); err != nil {
--- a/internal/rtmodel/run.go
+++ b/internal/rtmodel/run.go
@@ -42,6 +42,9 @@
 	Engines        int
 	Gateways       int
 	ReportInterval time.Duration // between two exchanges of loads among the gateways
+	// NewsDelay is how long the news of a long part takes to reach the other gateways;
+	// 0 if they learn of it with the next exchange only.
+	NewsDelay time.Duration
 }
 
 // Policy decides about one request. The duration is the retry delay of a
@@ -60,6 +63,8 @@
 	Refused         int             // refused or abandoned
 	LargestRequests int             // requests of the tenth with the longest prompts
 	LargestServed   int             // of these, answered
+	ValueShare      float64         // earned value over the value of all requests of the kind
+	LargestShare    float64         // the same of the tenth with the longest prompts
 	FirstEvents     []time.Duration // times to the first event, sorted
 }
 
@@ -68,8 +73,18 @@
 
 // Report is the result of a run.
 type Report struct {
-	Results    []Result
-	ValueShare float64 // earned value over the value of all requests
+	Results     []Result
+	ValueShare  float64 // earned value over the value of all requests
+	WorstClass  float64 // value share of the kind, or of the largest tenth of a kind, that has the least
+	WorstWindow float64 // mean value share of the two spans of reportWindow that have the least
+}
+
+// reportWindow is the length of the spans of Report.WorstWindow.
+const reportWindow = 5 * time.Second
+
+// Worth weighs the parts of a report as the operators do.
+func (r Report) Worth() float64 {
+	return 0.6*r.ValueShare + 0.25*r.WorstWindow + 0.15*r.WorstClass
 }
 
 // epoch is the virtual time at the start of a run.
@@ -183,13 +198,19 @@
 
 // exchangeLoads gives each gateway the loads of the others.
 func (s *simulation) exchangeLoads() {
+	for i := range s.gateways {
+		s.announce(i)
+	}
+}
+
+// announce gives the loads of a gateway to the others.
+func (s *simulation) announce(from int) {
 	now := epoch.Add(s.now)
-	for i, from := range s.gateways {
-		loads := from.loads.LocalLoads(now)
-		for j, to := range s.gateways {
-			if i != j {
-				to.loads.SetPeerLoads(rtid.VM(fmt.Sprint("gateway-", i)), loads, now)
-			}
+	loads := s.gateways[from].loads.LocalLoads(now)
+	name := rtid.VM(fmt.Sprint("gateway-", from))
+	for i, to := range s.gateways {
+		if i != from {
+			to.loads.SetPeerLoads(name, loads, now)
 		}
 	}
 }
@@ -214,10 +235,17 @@
 		s.schedule(s.now+admitInterval, func() { s.decide(q) })
 	default:
 		q.inFlight = gateway.loads.Start(placement, work, now)
+		if s.fleet.NewsDelay > 0 && placement.PartPrefill >= announcedPart {
+			s.schedule(s.now+s.fleet.NewsDelay, func() { s.announce(q.gateway) })
+		}
 		s.send(q, placement)
 	}
 }
 
+// announcedPart is the prefill time from which gateways tell one another of a part at
+// once.
+const announcedPart = 60 * time.Millisecond
+
 // refuse refuses a request. Its caller sends it again once.
 func (s *simulation) refuse(q *request, retryAfter time.Duration) {
 	if q.retried {
@@ -294,10 +322,34 @@
 	s.startPass(q.target)
 }
 
+// value is earned and offered value.
+type value struct{ earned, offered float64 }
+
+func (v *value) add(q *request) {
+	worth := q.kind.Value * min(4, 0.3+0.7*float64(q.work.Prompt)/q.kind.MeanPrompt)
+	v.offered += worth
+	switch {
+	case !q.served():
+	case q.inTime():
+		v.earned += worth
+	default:
+		v.earned += worth / 4
+	}
+}
+
+func (v *value) share() float64 { return v.earned / max(v.offered, 1e-9) }
+
+func (q *request) served() bool { return q.firstEvent > 0 && !q.refused }
+
+func (q *request) inTime() bool {
+	return q.served() && q.firstEvent <= q.kind.LatencySLO && q.longestGap <= q.kind.GapSLO
+}
+
 // report sums up the results.
 func (s *simulation) report(workload Workload) Report {
-	var report Report
-	var earnedValue, offeredValue float64
+	report := Report{WorstClass: 1}
+	var whole value
+	windows := make([]value, 1+int(workload.Duration/reportWindow))
 	for k := range workload.Kinds {
 		kind := &workload.Kinds[k]
 		result := Result{Kind: kind.Name}
@@ -308,34 +360,49 @@
 			}
 		}
 		slices.SortFunc(ofKind, func(a, b *request) int { return cmp.Compare(b.work.Prompt, a.work.Prompt) })
+		var all, largest value
 		for i, q := range ofKind {
-			value := kind.Value * min(4, 0.3+0.7*float64(q.work.Prompt)/kind.MeanPrompt)
-			offeredValue += value
+			whole.add(q)
+			all.add(q)
+			windows[q.arrived/reportWindow].add(q)
 			result.Requests++
-			served := q.firstEvent > 0 && !q.refused
 			switch {
-			case !served:
+			case !q.served():
 				result.Refused++
-			case q.firstEvent <= kind.LatencySLO && q.longestGap <= kind.GapSLO:
+			case q.inTime():
 				result.InTime++
-				earnedValue += value
 			default:
 				result.Late++
-				earnedValue += value / 4
 			}
 			if i < len(ofKind)/10 {
+				largest.add(q)
 				result.LargestRequests++
-				if served {
+				if q.served() {
 					result.LargestServed++
 				}
 			}
-			if served {
+			if q.served() {
 				result.FirstEvents = append(result.FirstEvents, q.firstEvent)
 			}
 		}
 		slices.Sort(result.FirstEvents)
+		result.ValueShare, result.LargestShare = all.share(), largest.share()
+		report.WorstClass = min(report.WorstClass, result.ValueShare, result.LargestShare)
 		report.Results = append(report.Results, result)
 	}
-	report.ValueShare = earnedValue / max(offeredValue, 1e-9)
+	report.ValueShare = whole.share()
+	report.WorstWindow = worstWindows(windows)
 	return report
 }
+
+// worstWindows returns the mean share of the two windows that have the least.
+func worstWindows(windows []value) float64 {
+	shares := []float64{1, 1}
+	for _, w := range windows {
+		if w.offered > 0 {
+			shares = append(shares, w.share())
+		}
+	}
+	slices.Sort(shares)
+	return (shares[0] + shares[1]) / 2
+}
--- a/internal/rtpeer/malformed_test.go
+++ b/internal/rtpeer/malformed_test.go
@@ -306,6 +306,7 @@
 		{"revision out of range in a full state", http.StatusOK, `{"revision":{"era":1,"revision":` + most + `},"full":true,"changes":[]}`, 1},
 		{"era out of range", http.StatusOK, `{"revision":{"era":` + most + `,"revision":5},"changes":[]}`, 1},
 		{"change out of range", http.StatusOK, `{"revision":{"era":1,"revision":5},"changes":[{"key":"servers/t","revision":{"era":1,"revision":` + most + `},"removed":true}]}`, 1},
+		{"change of a later era", http.StatusOK, `{"revision":{"era":1,"revision":5},"changes":[{"key":"op/config","value":"e30=","revision":{"era":2,"revision":1}}]}`, 1},
 		{"kept item out of range", http.StatusOK, `{"revision":{"era":1,"revision":5},"changes":[],"kept":[{"key":"servers/t","revision":{"era":1,"revision":` + most + `},"removed":true,"remaining":9000}]}`, 1},
 		{"kept for ever", http.StatusOK, `{"revision":{"era":1,"revision":5},"changes":[],"kept":[{"key":"servers/t","revision":{"era":1,"revision":5},"removed":true,"remaining":9223372036854775807}]}`, 1},
 		{"removal that is never confirmed", http.StatusOK, leaving("9223372036854775807"), 0},
