Let the pools follow a swing as fast with many engines as with few

Cause, found in the model of a cell with 86 engines: one engine moved to the other pool each 60 ms, so that the long prompts after a burst of short ones got the engines of the interactive pool back after 4 s instead of 1 s, 45 s with 1,000.

Ruled out: growth of the interactive pool, which follows at once.

Change: one engine in twenty moves at a time. 21 engines move as before.

TestPoolsFollowSwing, within 1.2 s: red with 69, 86, 300 and 1,000 engines before (53 of 86 engines left for short prompts, 16 wanted), green after.

--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -324,3 +324,27 @@
 		})
 	}
 }
+
+// Guards against pools that follow a swing of the load the later the more engines there
+// are. After a burst of short prompts, long ones need the engines within about a second.
+func TestPoolsFollowSwing(t *testing.T) {
+	const slots, step, bound = 10, 20 * time.Millisecond, 1200 * time.Millisecond
+	for _, engines := range []int{21, 69, 86, 300, 1000} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			var pools PoolSizer
+			at := now
+			resize := func(requests int, span time.Duration) int {
+				for end := at.Add(span); at.Before(end); at = at.Add(step) {
+					pools.Resize(engines, slots, requests, 0, at)
+				}
+				return pools.Size()
+			}
+			busy := resize(engines*slots/2, 2*time.Second)
+			idle := resize(engines*slots/10, 10*time.Second)
+			resize(engines*slots/2, 10*time.Second)
+			if got := resize(engines*slots/10, bound); got > idle || idle >= busy {
+				t.Errorf("%d engines are left for short prompts after %v, want %d as after 10 s; %d were in the burst", got, bound, idle, busy)
+			}
+		})
+	}
+}
--- a/internal/rtplacement/poolsizer.go
+++ b/internal/rtplacement/poolsizer.go
@@ -13,7 +13,7 @@
 // small for one of the two kinds at each swing. The zero value is ready to use.
 type PoolSizer struct {
 	interactive int       // engines of the interactive pool; 0 before the first call
-	lastMove    time.Time // when an engine last changed its pool
+	lastMove    time.Time // when engines last changed their pool
 	requests    int       // interactive requests at lastSample
 	lastSample  time.Time
 	growth      float64 // of interactive requests, per second
@@ -33,10 +33,13 @@
 	// busyBacklog is the mean prefill backlog above which the long-prompt pool
 	// gets the engines that the interactive pool can spare.
 	busyBacklog = 200 * time.Millisecond
-	// moveInterval is the least time between two moves of an engine to the other
+	// moveInterval is the least time between two moves of engines to the other
 	// pool while the size of the pools is within their limits: the pools follow a
 	// swing of the load within about a second.
 	moveInterval = 60 * time.Millisecond
+	// enginesPerMove is the number of engines of which one moves at a time. More move
+	// together where there are more, so that a swing takes as long to follow.
+	enginesPerMove = 20
 	// sampleInterval is the time over which the growth of interactive requests is
 	// measured, and growthHorizon how far ahead it is extrapolated: engines that
 	// join the interactive pool must finish their prefill backlog first.
@@ -63,6 +66,7 @@
 	if backlog > busyBacklog {
 		want = lower
 	}
+	step := max(1, engines/enginesPerMove)
 	switch {
 	case p.interactive < lower:
 		p.interactive = lower
@@ -70,10 +74,10 @@
 		p.interactive = upper
 	case now.Sub(p.lastMove) < moveInterval:
 	case p.interactive < want:
-		p.interactive++
+		p.interactive = min(want, p.interactive+step)
 		p.lastMove = now
 	case p.interactive > want:
-		p.interactive--
+		p.interactive = max(want, p.interactive-step)
 		p.lastMove = now
 	}
 	return p.interactive
