Split prompts over engines that may get no request from this gateway

Cause: an engine may be cold without notice, so all gateways together send it at most 26 requests a second (20 with the reserve), in whole parts. It also made each gateway size the two pools by a subset of its own. The more gateways, the worse: this is what bound the large site.

Requests to any target are limited as before.

--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -100,9 +100,13 @@
 		if slices.Contains(tried, instance.ID) {
 			continue
 		}
-		if !g.withinColdRate(service, instance, now) {
+		// Parts of prompts are no requests, so a cold target takes them from everybody.
+		helperOnly := !g.withinColdRate(service, instance, now)
+		if helperOnly {
 			kept.other = true
-			continue
+			if service.Engine == nil {
+				continue
+			}
 		}
 		wait, limited := g.limitWait(instance, short, now)
 		if wait > 0 {
@@ -118,6 +122,8 @@
 			Hash:     targetHash(instance.ID),
 			TieBreak: rand.Uint32(),
 			Limited:  limited,
+
+			HelperOnly: helperOnly,
 		}
 		if instance.Zone != g.settings.Zone {
 			candidate.RoundTrip = zoneRoundTrip
@@ -131,8 +137,9 @@
 			healthy = append(healthy, candidate)
 		}
 	}
-	if len(healthy) == 0 {
-		return coolingDown, kept
+	mayBeTarget := func(c rtplacement.Candidate) bool { return !c.HelperOnly }
+	if !slices.ContainsFunc(healthy, mayBeTarget) {
+		return slices.DeleteFunc(coolingDown, func(c rtplacement.Candidate) bool { return c.HelperOnly }), kept
 	}
 	return healthy, kept
 }
--- a/internal/rtmodel/large_test.go
+++ b/internal/rtmodel/large_test.go
@@ -6,7 +6,7 @@
 )
 
 // largeKinds returns the planned load of a cell of the large site: 86 engines and 34
-// gateways.
+// gateways, half of all.
 func largeKinds() []Kind {
 	return []Kind{
 		{Name: "short", Rate: 118.5, MeanPrompt: 5000, PromptLogStdDev: 0.77, MaxPrompt: 23800, MeanEvents: 23.5, LatencySLO: 400 * time.Millisecond, GapSLO: 300 * time.Millisecond, Value: 1.3},
@@ -15,41 +15,40 @@
 	}
 }
 
+// largeFleet returns the fleet that serves largeKinds. An engine may get 26 requests in
+// a second from the 68 gateways of both cells, of which they use 0.8.
 func largeFleet() Fleet {
 	fleet := fleetOf(86, 34)
 	fleet.Engine.Slots = 10
 	fleet.ReportInterval = 750 * time.Millisecond
 	fleet.NewsDelay = 40 * time.Millisecond
+	fleet.SendLimit, fleet.OtherGateways = 20, 34
 	return fleet
 }
 
-func TestLargeTrial(t *testing.T) {
-	for _, load := range []struct {
-		name string
-		f    func(string, time.Duration) float64
-		fl   Fleet
-		k    []Kind
-	}{
-		{"large swing", alternatingLoad, largeFleet(), largeKinds()},
-		{"large plan", plannedLoad, largeFleet(), largeKinds()},
-		{"large 1.5", multipleLoad(1.5), largeFleet(), largeKinds()},
-		{"small swing", alternatingLoad, fleetOf(21, 4), plannedKinds()},
-		{"small swing20", alternatingLoad, fleetOf(21, 20), plannedKinds()},
-		{"small plan", plannedLoad, fleetOf(21, 4), plannedKinds()},
-		{"small 1.5", multipleLoad(1.5), fleetOf(21, 4), plannedKinds()},
-	} {
-		start := time.Now()
-		var worth, whole, class, window, largest, kind float64
-		for _, seed := range seeds {
-			r := Run(load.fl, Workload{Kinds: load.k, Duration: 40 * time.Second, RateFactor: load.f}, gatewayPolicy, seed)
-			worth += r.Worth() / 3
-			whole += r.ValueShare / 3
-			class += r.WorstClass / 3
-			window += r.WorstWindow / 3
-			l := r.Results[2]
-			largest += float64(l.LargestServed) / float64(l.LargestRequests) / 3
-			kind += l.ServedShare() / 3
+// Guards against large prompts that find too few engines where there are many
+// gateways, each of which may send requests to few of the engines: in swings between
+// short and long prompts, the largest prompts of each kind must be served at least half
+// as often as their kind.
+func TestLargestOfManyGateways(t *testing.T) {
+	largest, largestServed := make(map[string]int), make(map[string]int)
+	requests, served := make(map[string]int), make(map[string]int)
+	for _, seed := range seeds {
+		workload := Workload{Kinds: largeKinds(), Duration: 34 * time.Second, RateFactor: alternatingLoad}
+		report := Run(largeFleet(), workload, gatewayPolicy, seed)
+		t.Logf("seed %d: worth %.3f, value share %.3f, worst windows %.3f, worst class %.3f", seed, report.Worth(), report.ValueShare, report.WorstWindow, report.WorstClass)
+		for _, r := range report.Results {
+			t.Logf("%s: value share %.3f, of the largest tenth %.3f", r.Kind, r.ValueShare, r.LargestShare)
+			largest[r.Kind] += r.LargestRequests
+			largestServed[r.Kind] += r.LargestServed
+			requests[r.Kind] += r.Requests
+			served[r.Kind] += r.InTime + r.Late
+		}
+	}
+	for kind := range requests {
+		of, ofKind := float64(largestServed[kind])/float64(largest[kind]), float64(served[kind])/float64(requests[kind])
+		if of < ofKind/2 {
+			t.Errorf("%s: largest tenth served %.2f, its kind %.2f", kind, of, ofKind)
 		}
-		t.Logf("%-14s worth %.3f whole %.3f window %.3f class %.3f largest %.2f kind %.2f (%v)", load.name, worth, whole, window, class, largest, kind, time.Since(start).Round(time.Millisecond))
 	}
 }
--- a/internal/rtmodel/run.go
+++ b/internal/rtmodel/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 )
 
@@ -45,6 +46,11 @@
 	// NewsDelay is how long the news of a long part takes to reach the other gateways;
 	// 0 if they learn of it with the next exchange only.
 	NewsDelay time.Duration
+	// SendLimit is how many requests an engine may get in one second from all gateways
+	// together, because it may be cold; 0 for no limit. Each gateway has a part of it.
+	SendLimit int
+	// OtherGateways also have parts of SendLimit, but send nothing: those of other cells.
+	OtherGateways int
 }
 
 // Policy decides about one request. The duration is the retry delay of a
@@ -105,8 +111,9 @@
 		s.engines = append(s.engines, &engine{costs: &fleet.Engine, instance: instance})
 	}
 	for range max(1, fleet.Gateways) {
-		s.gateways = append(s.gateways, &gateway{policy: policy()})
+		s.gateways = append(s.gateways, &gateway{policy: policy(), sends: make(map[*engine]*rtlimit.Window)})
 	}
+	s.divideSendLimit()
 	s.drawArrivals(workload)
 	for s.events.Len() > 0 {
 		e := heap.Pop(&s.events).(timedEvent)
@@ -120,6 +127,40 @@
 type gateway struct {
 	policy Policy
 	loads  rtplacement.LoadTracker
+	parts  map[*engine]int // of Fleet.SendLimit; nil for no limit
+	sends  map[*engine]*rtlimit.Window
+}
+
+// maySend reports whether one more request to an engine is within the part of the
+// gateway.
+func (g *gateway) maySend(e *engine, now time.Time) bool {
+	return g.parts == nil || g.sendsTo(e).CountWithin(time.Second, now) < g.parts[e]
+}
+
+func (g *gateway) sendsTo(e *engine) *rtlimit.Window {
+	if g.sends[e] == nil {
+		g.sends[e] = &rtlimit.Window{Span: rtlimit.TargetWindow}
+	}
+	return g.sends[e]
+}
+
+// divideSendLimit gives each gateway its part of the requests to each engine, as the
+// gateways do by hash.
+func (s *simulation) divideSendLimit() {
+	if s.fleet.SendLimit == 0 {
+		return
+	}
+	processes := len(s.gateways) + s.fleet.OtherGateways
+	for _, g := range s.gateways {
+		g.parts = make(map[*engine]int)
+	}
+	for _, e := range s.engines {
+		for rank, i := range s.random.Perm(processes) {
+			if i < len(s.gateways) {
+				s.gateways[i].parts[e] = rtlimit.Share{Rank: rank, Processes: processes}.Part(s.fleet.SendLimit)
+			}
+		}
+	}
 }
 
 // simulation is the state of a run.
@@ -225,6 +266,7 @@
 	for i, e := range s.engines {
 		candidates = append(candidates, rtplacement.Candidate{
 			Instance: e.instance, Load: gateway.loads.Load(e.instance.ID, now), Hash: uint32(i), TieBreak: s.random.Uint32(),
+			HelperOnly: !gateway.maySend(e, now),
 		})
 	}
 	placement, decision, retryAfter := gateway.policy.Decide(&s.fleet.Engine, work, candidates, len(s.gateways), now)
@@ -235,6 +277,11 @@
 		s.schedule(s.now+admitInterval, func() { s.decide(q) })
 	default:
 		q.inFlight = gateway.loads.Start(placement, work, now)
+		for _, e := range s.engines {
+			if e.instance == placement.Target {
+				gateway.sendsTo(e).Add(now)
+			}
+		}
 		if s.fleet.NewsDelay > 0 && placement.PartPrefill >= announcedPart {
 			s.schedule(s.now+s.fleet.NewsDelay, func() { s.announce(q.gateway) })
 		}
--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -15,6 +15,7 @@
 // LongPoolLoad is the load on the long-prompt pool.
 type LongPoolLoad struct {
 	PrefillBacklog time.Duration // mean over the engines of the pool that are not blocked
+	Size           int           // engines of the pool that are not blocked
 	Engines        int           // usable engines of the service, of both pools
 }
 
@@ -142,7 +143,7 @@
 		total = total.Add(long[i].Load)
 	}
 	n := max(1, len(long))
-	return LongPoolLoad{PrefillBacklog: total.PrefillBacklog / time.Duration(n), Engines: len(candidates)}
+	return LongPoolLoad{PrefillBacklog: total.PrefillBacklog / time.Duration(n), Size: len(long), Engines: len(candidates)}
 }
 
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Decision
--- a/internal/rtplacement/place.go
+++ b/internal/rtplacement/place.go
@@ -17,6 +17,9 @@
 	Hash      uint32        // orders engines alike in all processes
 	TieBreak  uint32        // random for each request
 	Limited   bool          // takes this request by its rate limit, but no parts of others
+	// HelperOnly says that it takes parts of the request but not the request: this process
+	// has used its part of the requests that a target may get in a second.
+	HelperOnly bool
 }
 
 // PoolState is what a placement needs to know of the fleet besides its
@@ -89,27 +92,60 @@
 }
 
 // PlaceOnEngines selects the target and the helpers of a request. It reports
-// false if there are no candidates.
+// false if no candidate may be the target.
 func PlaceOnEngines(engine *rtcatalog.Engine, work Work, candidates []Candidate, pools PoolState) (Placement, bool) {
-	if len(candidates) == 0 {
+	if !slices.ContainsFunc(candidates, Candidate.mayBeTarget) {
 		return Placement{}, false
 	}
 	sorted := sortedByHash(atMostOneLimited(candidates))
 	border := min(pools.InteractiveEngines, len(sorted))
 	if work.Interactive() {
 		count := partCount(engine, work, interactivePart, len(sorted))
-		preferred := pools.sample(notBlocked(sorted[:border]), count+1)
-		all := append(slices.Clone(preferred), pools.sample(sorted[border:], 1)...)
+		targets, helpers := split(notBlocked(sorted[:border]))
+		preferred := append(slices.Clone(pools.sample(targets, count+1)), pools.sample(helpers, count-1)...)
+		otherTargets, _ := split(sorted[border:])
+		all := append(slices.Clone(preferred), pools.sample(otherTargets, 1)...)
+		if !slices.ContainsFunc(all, Candidate.mayBeTarget) {
+			// All targets of the own pool are blocked.
+			blocked, _ := split(sorted[:border])
+			all = append(all, pools.sample(blocked, 1)...)
+		}
 		return place(engine, work, all, len(preferred), min(count, len(all))), true
 	}
 	// Parts of long prompts never go to engines of the interactive pool, unless
-	// there are no others.
+	// there are no others, or no other may be the target.
 	long := longPool(sorted, border)
 	count := partCount(engine, work, longPart, len(long))
+	all := long
 	if PrefillTime(engine, work.Prompt, count) <= blockingPart {
-		long = pools.sample(long, count+spareEngines)
+		all = pools.sample(long, count+spareEngines)
+	}
+	preferred := len(all)
+	if !slices.ContainsFunc(all, Candidate.mayBeTarget) {
+		targets, _ := split(long)
+		if len(targets) == 0 {
+			targets, _ = split(sorted)
+		} else {
+			preferred++
+		}
+		all = append(slices.Clone(all), pools.sample(targets, 1)[0])
+	}
+	return place(engine, work, all, preferred, count), true
+}
+
+func (c Candidate) mayBeTarget() bool { return !c.HelperOnly }
+
+// split returns the candidates that may be the target, and those that may be helpers
+// only.
+func split(candidates []Candidate) (targets, helpers []Candidate) {
+	for _, c := range candidates {
+		if c.mayBeTarget() {
+			targets = append(targets, c)
+		} else {
+			helpers = append(helpers, c)
+		}
 	}
-	return place(engine, work, long, len(long), count), true
+	return targets, helpers
 }
 
 // atMostOneLimited returns the candidates with only the least loaded one of those
@@ -193,6 +229,10 @@
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.TieBreak, b.TieBreak))
 	})
+	// The best one that may be the target is among the chosen.
+	if first := slices.IndexFunc(all, func(r ranked) bool { return r.mayBeTarget() }); first >= count {
+		all[count-1], all[first] = all[first], all[count-1]
+	}
 	chosen := make([]Candidate, 0, count)
 	var longest time.Duration
 	var total Load
@@ -226,15 +266,18 @@
 	return delay
 }
 
-// mostFreeMemory returns the index of the candidate with the most free memory.
-// It becomes the target, which holds the prompt and decodes. A candidate with a
-// rate limit always does.
+// mostFreeMemory returns the index of the candidate with the most free memory, of
+// those that may be the target. It becomes the target, which holds the prompt and
+// decodes. A candidate with a rate limit always does.
 func mostFreeMemory(engine *rtcatalog.Engine, chosen []Candidate) int {
-	best := 0
+	best := slices.IndexFunc(chosen, Candidate.mayBeTarget)
 	for i := range chosen {
 		if chosen[i].Limited {
 			return i // it must not be a helper
 		}
+		if chosen[i].HelperOnly {
+			continue
+		}
 		if freeMemory(engine, chosen[i]) > freeMemory(engine, chosen[best]) {
 			best = i
 		}
@@ -252,6 +295,7 @@
 // PlaceOnService selects the target of a request without a prompt: the one with
 // the fewest in-flight requests, among equals the nearest.
 func PlaceOnService(candidates []Candidate) (Placement, bool) {
+	candidates, _ = split(candidates)
 	if len(candidates) == 0 {
 		return Placement{}, false
 	}
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -325,6 +325,63 @@
 	}
 }
 
+// Guards against a request that is sent to a target that takes only parts of it from
+// this process, and against parts that are kept from such targets: a large prompt needs
+// more engines than the parts of one of many gateways reach.
+func TestHelperOnly(t *testing.T) {
+	largest := longWork
+	largest.Prompt = 500_000
+	tests := []struct {
+		name    string
+		work    Work
+		targets []int // of 40 engines, those that may be the target
+		blocked []int // by a prefill backlog
+		helpers int   // at least; -1 if the request is not placed
+	}{
+		{"short", shortWork, []int{3, 8}, nil, 0},
+		{"short, target of the other pool", shortWork, []int{30}, nil, 0},
+		{"short, all targets blocked", shortWork, []int{3, 30}, []int{3, 30}, 0},
+		{"long", longWork, []int{1, 12, 30}, nil, 10},
+		{"long, target of the other pool", longWork, []int{1}, nil, 10},
+		{"largest", largest, []int{12, 30}, nil, 16},
+		{"largest, target of the other pool", largest, []int{4}, nil, 16},
+		{"largest, all targets blocked", largest, []int{12, 30}, []int{12, 30}, 16},
+		{"short, no target", shortWork, nil, nil, -1},
+		{"largest, no target", largest, nil, nil, -1},
+	}
+	for _, test := range tests {
+		for _, gateways := range []int{1, 34, 300} {
+			t.Run(fmt.Sprint(test.name, " ", gateways), func(t *testing.T) {
+				candidates := idleEngines(40)
+				for i := range candidates {
+					candidates[i].HelperOnly = !slices.Contains(test.targets, i)
+					if slices.Contains(test.blocked, i) {
+						candidates[i].Load.PrefillBacklog = 2 * blockingPart
+					}
+				}
+				placement, ok := PlaceOnEngines(publishedCosts, test.work, candidates, PoolState{InteractiveEngines: 10, Gateways: gateways})
+				if ok != (test.helpers >= 0) {
+					t.Fatalf("placed: %v", ok)
+				}
+				if !ok {
+					return
+				}
+				if i := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Instance == placement.Target }); candidates[i].HelperOnly {
+					t.Errorf("target %s takes only parts", placement.Target.ID)
+				}
+				if len(placement.Helpers) < test.helpers || slices.Contains(placement.Helpers, placement.Target) {
+					t.Errorf("%d helpers, want %d or more, none of them the target", len(placement.Helpers), test.helpers)
+				}
+			})
+		}
+	}
+	candidates := idleEngines(2)
+	candidates[0].HelperOnly, candidates[1].Load.Requests = true, 5
+	if placement, ok := PlaceOnService(candidates); !ok || placement.Target != candidates[1].Instance {
+		t.Errorf("request without a prompt: got %v, %v, want the target that takes it", placement.Target, ok)
+	}
+}
+
 // Guards against pools that follow a swing of the load the later the more engines there
 // are. After a burst of short prompts, long ones need the engines within about a second.
 func TestPoolsFollowSwing(t *testing.T) {
