Log what a refusal for overload predicted

A refused prompt left no trace of why: detail was empty. The line now has the predicted first event, the parts, the backlog and long requests at their targets, and the long pool.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -276,7 +276,13 @@
 // example because its first event is predicted after its abandon timeout:
 // prefilling a prompt whose caller has given up would only delay other requests.
 func (d *delivery) refuseOverload(s scheduled) *refusal {
-	return d.giveUpAfter("overloaded", rtplacement.RetryAfter(s.Placement, s.LongPool))
+	refused := d.giveUpAfter("overloaded", rtplacement.RetryAfter(s.Placement, s.LongPool))
+	if refused != nil {
+		refused.detail = fmt.Sprintf("first event predicted after %v, %d parts of %v, backlog %v and %.1f long requests at their targets; long pool %d of %d targets, backlog %v",
+			s.PredictedFirstEvent, 1+len(s.Helpers), s.PartPrefill, s.Placement.PrefillBacklog, s.LongRequests,
+			s.LongPool.Size, s.LongPool.Engines, s.LongPool.PrefillBacklog)
+	}
+	return refused
 }
 
 // giveUp ends a request that no target has answered successfully.
