--- a/internal/rtmodel/large_test.go
+++ b/internal/rtmodel/large_test.go
@@ -34,7 +34,7 @@
 	largest, largestServed := make(map[string]int), make(map[string]int)
 	requests, served := make(map[string]int), make(map[string]int)
 	for _, seed := range seeds {
-		workload := Workload{Kinds: largeKinds(), Duration: 34 * time.Second, RateFactor: alternatingLoad}
+		workload := Workload{Kinds: largeKinds(), Duration: 40 * time.Second, RateFactor: alternatingLoad}
 		report := Run(largeFleet(), workload, gatewayPolicy, seed)
 		t.Logf("seed %d: worth %.3f, value share %.3f, worst windows %.3f, worst class %.3f", seed, report.Worth(), report.ValueShare, report.WorstWindow, report.WorstClass)
 		for _, r := range report.Results {
