--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -279,7 +279,7 @@
 	refused := d.giveUpAfter("overloaded", rtplacement.RetryAfter(s.Placement, s.LongPool))
 	if refused != nil {
 		refused.detail = fmt.Sprintf("first event predicted after %v, %d parts of %v, backlog %v and %.1f long requests at their targets; long pool %d of %d targets, backlog %v",
-			s.PredictedFirstEvent, 1+len(s.Helpers), s.PartPrefill, s.Placement.PrefillBacklog, s.LongRequests,
+			s.PredictedFirstEvent, 1+len(s.Helpers), s.PartPrefill, s.PrefillBacklog, s.LongRequests,
 			s.LongPool.Size, s.LongPool.Engines, s.LongPool.PrefillBacklog)
 	}
 	return refused
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -355,18 +355,18 @@
 				candidates := idleEngines(40)
 				for i := range candidates {
 					candidates[i].HelperOnly = !slices.Contains(test.targets, i)
-					if slices.Contains(test.blocked, i) {
-						candidates[i].Load.PrefillBacklog = 2 * blockingPart
-					}
 				}
-				placement, ok := PlaceOnEngines(publishedCosts, test.work, candidates, PoolState{InteractiveEngines: 10, Gateways: gateways})
-				if ok != (test.helpers >= 0) {
-					t.Fatalf("placed: %v", ok)
+				for _, i := range test.blocked {
+					candidates[i].Load.PrefillBacklog = 2 * blockingPart
 				}
-				if !ok {
+				placement, ok := PlaceOnEngines(publishedCosts, test.work, candidates, PoolState{InteractiveEngines: 10, Gateways: gateways})
+				if !ok || test.helpers < 0 {
+					if ok != (test.helpers >= 0) {
+						t.Errorf("placed: %v", ok)
+					}
 					return
 				}
-				if i := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Instance == placement.Target }); candidates[i].HelperOnly {
+				if !slices.ContainsFunc(test.targets, func(i int) bool { return candidates[i].Instance == placement.Target }) {
 					t.Errorf("target %s takes only parts", placement.Target.ID)
 				}
 				if len(placement.Helpers) < test.helpers || slices.Contains(placement.Helpers, placement.Target) {
@@ -375,6 +375,11 @@
 			})
 		}
 	}
+}
+
+// Guards against a request without a prompt that is sent to a target which takes none
+// from this process.
+func TestHelperOnlyOfService(t *testing.T) {
 	candidates := idleEngines(2)
 	candidates[0].HelperOnly, candidates[1].Load.Requests = true, 5
 	if placement, ok := PlaceOnService(candidates); !ok || placement.Target != candidates[1].Instance {
