Ask other engines when one refuses memory, and count what is reserved

All gateways asked the one engine whose other requests need the least memory by the loads that all of them know; reserved memory was in no load; and one refusal ended the request with a refusal and a retry after 400 ms, by way of another gateway that asked the same engine.

Ruled out: too little memory. The loads had engines without any use of it.

Change: up to five engines are asked, a round trip each; memory that is reserved counts at the engine that holds it, in digests too, and not at the target; engines that are about equal are asked in an order of the request's own.

TestReservedMemory comes with the change.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -347,7 +347,7 @@
 	d.answerProven = false
 	guard := d.startWatchdog(placement.Target.ID, cancel)
 	defer guard.stop()
-	reserved, err := d.reserve(ctx, placement)
+	reserved, err := d.reserve(ctx, placement, inFlight)
 	if err != nil {
 		return result{outcome: d.unreservedOutcome(ctx), detail: err.Error()}
 	}
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -30,11 +30,17 @@
 	maxCommandDelay      = 13 * time.Second
 	releaseRetryInterval = 600 * time.Millisecond
 	maxCommandReply      = 64 << 10
+	// maxMemoryRefusals is how many engines may refuse memory before the request is
+	// refused. Each takes a round trip.
+	maxMemoryRefusals = 4
 )
 
-// errNoMemory says that an engine did not reserve memory, or that the engines
-// together have too little.
-var errNoMemory = errors.New("not enough free memory at engines")
+var (
+	// errNoMemory says that an engine has too little free memory.
+	errNoMemory = errors.New("not enough free memory at the engine")
+	// errTooLittleMemory says that the engines together have too little.
+	errTooLittleMemory = errors.New("not enough free memory at engines")
+)
 
 // reservation is memory reserved at one engine for one request. It belongs to
 // one attempt and is released after it.
@@ -47,23 +53,30 @@
 }
 
 // reserve reserves memory at other engines for a prompt that is larger than
-// the memory of its target. It returns no reservations for other prompts.
-func (d *delivery) reserve(ctx context.Context, placement rtplacement.Placement) ([]*reservation, error) {
-	engine := d.request.service.Engine
-	if engine == nil {
+// the memory of its target. It returns no reservations for other prompts. When an
+// engine has less free memory than its known load says, it asks others.
+func (d *delivery) reserve(ctx context.Context, placement rtplacement.Placement, inFlight *rtplacement.InFlightRequest) ([]*reservation, error) {
+	if d.request.service.Engine == nil {
 		return nil, nil
 	}
-	planned, ok := d.gateway.planReservations(d.request, placement.Target, d.withoutMemory)
-	if !ok {
-		return nil, errNoMemory
+	for refusals := 0; ; refusals++ {
+		planned, err := d.gateway.planReservations(d.request, placement.Target, d.withoutMemory, inFlight)
+		if err != nil {
+			return nil, err
+		}
+		reserved, err := d.reserveAt(ctx, planned, fmt.Sprintf("%s-%d-%d", d.request.info.ID, len(d.tried), refusals))
+		if err == nil || !errors.Is(err, errNoMemory) || refusals == maxMemoryRefusals {
+			return reserved, err
+		}
 	}
+}
+
+// reserveAt makes the planned reservations, all or none. Their tickets begin with a
+// name that no others have.
+func (d *delivery) reserveAt(ctx context.Context, planned []rtplacement.Reservation, name string) ([]*reservation, error) {
 	reserved := make([]*reservation, 0, len(planned))
 	for i, memory := range planned {
-		r := &reservation{
-			gateway: d.gateway,
-			memory:  memory,
-			ticket:  fmt.Sprintf("%s-%d-%d", d.request.info.ID, len(d.tried), i),
-		}
+		r := &reservation{gateway: d.gateway, memory: memory, ticket: fmt.Sprint(name, "-", i)}
 		reserved = append(reserved, r)
 		if err := r.command(ctx, true); err != nil {
 			d.gateway.log.Info("Memory not set aside.", "request", d.request.info.ID, "target", memory.Target.ID,
@@ -77,8 +90,10 @@
 }
 
 // planReservations returns the memory that a request needs at other engines,
-// without the excluded ones. It reports false if they have too little.
-func (g *Gateway) planReservations(q *request, target *rtcatalog.Instance, excluded []rtid.Target) ([]rtplacement.Reservation, bool) {
+// without the excluded ones, and records it as a load there. It returns an error if
+// they have too little.
+func (g *Gateway) planReservations(q *request, target *rtcatalog.Instance, excluded []rtid.Target,
+	inFlight *rtplacement.InFlightRequest) ([]rtplacement.Reservation, error) {
 	view := g.views.View()
 	now := time.Now()
 	g.mu.Lock()
@@ -86,7 +101,12 @@
 	candidates, _ := g.candidates(view, g.cellInstances(view, q.service), q.service, excluded, false, now)
 	// Commands may count against a rate limit.
 	candidates = slices.DeleteFunc(candidates, func(c rtplacement.Candidate) bool { return c.Limited })
-	return rtplacement.PlanReservations(q.service.Engine, q.work, target, candidates)
+	planned, ok := rtplacement.PlanReservations(q.service.Engine, q.work, target, candidates)
+	if !ok {
+		return nil, errTooLittleMemory
+	}
+	g.loads.Reserve(inFlight, planned)
+	return planned, nil
 }
 
 // renew starts a task that renews reservations until it is stopped.
--- a/internal/rtplacement/loadtracker.go
+++ b/internal/rtplacement/loadtracker.go
@@ -1,6 +1,7 @@
 package rtplacement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -30,6 +31,7 @@
 type InFlightRequest struct {
 	target              rtid.Target
 	helpers             []rtid.Target
+	reserved            map[rtid.Target]rtid.Tokens // memory at other engines
 	work                Work
 	partPrefill         time.Duration
 	predictedFirstEvent time.Duration // after sent
@@ -43,16 +45,36 @@
 	for _, helper := range placement.Helpers {
 		request.helpers = append(request.helpers, helper.ID)
 	}
+	for _, target := range request.hosts() {
+		t.add(target, request)
+	}
+	return request
+}
+
+func (t *LoadTracker) add(target rtid.Target, request *InFlightRequest) {
 	if t.local == nil {
 		t.local = make(map[rtid.Target]map[*InFlightRequest]bool)
 	}
-	for _, target := range request.hosts() {
-		if t.local[target] == nil {
-			t.local[target] = make(map[*InFlightRequest]bool)
+	if t.local[target] == nil {
+		t.local[target] = make(map[*InFlightRequest]bool)
+	}
+	t.local[target][request] = true
+}
+
+// Reserve records the memory that a request reserves at other engines, in place of what
+// was recorded for it before. Without it, prompts that are larger than an engine would
+// all ask the same engines, whose other requests need the least memory.
+func (t *LoadTracker) Reserve(request *InFlightRequest, reservations []Reservation) {
+	for target := range request.reserved {
+		if !slices.Contains(request.helpers, target) {
+			t.remove(target, request)
 		}
-		t.local[target][request] = true
 	}
-	return request
+	request.reserved = make(map[rtid.Target]rtid.Tokens, len(reservations))
+	for _, r := range reservations {
+		request.reserved[r.Target.ID] = r.Tokens
+		t.add(r.Target.ID, request)
+	}
 }
 
 // PrefillDone records the first event of a request, which shows that its prompt
@@ -60,7 +82,9 @@
 func (t *LoadTracker) PrefillDone(request *InFlightRequest) {
 	request.prefilled = true
 	for _, helper := range request.helpers {
-		t.remove(helper, request)
+		if request.reserved[helper] == 0 {
+			t.remove(helper, request)
+		}
 	}
 }
 
@@ -78,8 +102,15 @@
 	}
 }
 
-// hosts returns the target and the helpers of a request.
-func (r *InFlightRequest) hosts() []rtid.Target { return append([]rtid.Target{r.target}, r.helpers...) }
+// hosts returns the target and the helpers of a request, and the engines with memory
+// for it.
+func (r *InFlightRequest) hosts() []rtid.Target {
+	hosts := append([]rtid.Target{r.target}, r.helpers...)
+	for target := range r.reserved {
+		hosts = append(hosts, target)
+	}
+	return hosts
+}
 
 // SetPeerLoads stores the loads that a peer reports of its own requests.
 func (t *LoadTracker) SetPeerLoads(peer rtid.VM, loads map[rtid.Target]Load, now time.Time) {
@@ -135,18 +166,22 @@
 	return load
 }
 
-// loadAt returns what a request adds to the load on one of its targets.
+// loadAt returns what a request adds to the load on one of its hosts.
 func (r *InFlightRequest) loadAt(target rtid.Target, now time.Time) Load {
-	var load Load
+	load := Load{Memory: r.reserved[target]}
 	if target == r.target {
 		load.Requests = 1
-		load.Memory = r.work.Prompt + r.work.Output
-		load.Context = load.Memory / rtid.Tokens(1+len(r.helpers))
+		size := r.work.Prompt + r.work.Output
+		load.Memory = size
+		for _, tokens := range r.reserved {
+			load.Memory -= tokens
+		}
+		load.Context = size / rtid.Tokens(1+len(r.helpers))
 		if r.work.Interactive() {
 			load.Interactive = 1
 		}
 	}
-	if !r.prefilled {
+	if !r.prefilled && (target == r.target || slices.Contains(r.helpers, target)) {
 		load.PrefillBacklog = r.prefillBacklog(now)
 	}
 	return load
--- a/internal/rtplacement/loadtracker_test.go
+++ b/internal/rtplacement/loadtracker_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
 
@@ -43,3 +44,34 @@
 		t.Errorf("%d targets are kept without loads", len(tracker.placed))
 	}
 }
+
+// Guards against memory reserved for a prompt that does not count as used at the engine
+// that holds it, or counts after its request has ended.
+func TestReservedMemory(t *testing.T) {
+	engines := idleEngines(4)
+	work := Work{Prompt: 600_000, Output: 1000}
+	var tracker LoadTracker
+	request := tracker.Start(Placement{Target: engines[0].Instance, Helpers: []*rtcatalog.Instance{engines[1].Instance}, PartPrefill: time.Second}, work, now)
+	check := func(when string, want ...rtid.Tokens) {
+		t.Helper()
+		for i, c := range engines {
+			if got := tracker.Load(c.Instance.ID, now).Memory; got != want[i] {
+				t.Errorf("%s: %d tokens at %s, want %d", when, got, c.Instance.ID, want[i])
+			}
+		}
+	}
+	check("sent", 601_000, 0, 0, 0)
+	tracker.Reserve(request, []Reservation{{Target: engines[3].Instance, Tokens: 150_000}})
+	tracker.Reserve(request, []Reservation{{Target: engines[1].Instance, Tokens: 200_000}, {Target: engines[2].Instance, Tokens: 100_000}})
+	check("reserved elsewhere", 301_000, 200_000, 100_000, 0)
+	if got := tracker.Load(engines[2].Instance.ID, now); got.PrefillBacklog != 0 || got.Requests != 0 {
+		t.Errorf("engine with memory only: %+v, want neither a backlog nor a request", got)
+	}
+	tracker.PrefillDone(request)
+	check("answer begun", 301_000, 200_000, 100_000, 0)
+	tracker.Finish(request)
+	check("ended", 0, 0, 0, 0)
+	if len(tracker.local) > 0 {
+		t.Errorf("%d targets are kept without requests", len(tracker.local))
+	}
+}
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -325,6 +325,30 @@
 	}
 }
 
+// Guards against many processes that reserve memory at the same engine, because by the
+// loads that all of them know it has the most.
+func TestReservationsSpread(t *testing.T) {
+	const processes, engines = 30, 86
+	asked := make(map[rtid.Target]int)
+	for i := range processes {
+		candidates := idleEngines(engines)
+		for j := range candidates {
+			candidates[j].Load.Memory = rtid.Tokens(j * 100)
+			candidates[j].TieBreak = uint32((j*37 + i*53) % 101)
+		}
+		reservations, ok := PlanReservations(publishedCosts, Work{Prompt: 400_000, Output: 1000}, candidates[engines-1].Instance, candidates)
+		if !ok || len(reservations) != 1 {
+			t.Fatalf("%d reservations, %v, want one", len(reservations), ok)
+		}
+		asked[reservations[0].Target.ID]++
+	}
+	for target, n := range asked {
+		if n > processes/10 {
+			t.Errorf("%d of %d processes ask %s for memory", n, processes, target)
+		}
+	}
+}
+
 // Guards against a request that is sent to a target that takes only parts of it from
 // this process, and against parts that are kept from such targets: a large prompt needs
 // more engines than the parts of one of many gateways reach.
--- a/internal/rtplacement/reservation.go
+++ b/internal/rtplacement/reservation.go
@@ -38,7 +38,11 @@
 	}
 	missing = max(missing, minReservation)
 	others := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Instance.ID == target.ID })
-	slices.SortStableFunc(others, func(a, b Candidate) int { return cmp.Compare(a.Load.Memory, b.Load.Memory) })
+	// Many processes plan by the same loads, so those that are about equal are taken in
+	// an order of this request's own.
+	slices.SortFunc(others, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Load.Memory/minReservation, b.Load.Memory/minReservation), cmp.Compare(a.TieBreak, b.TieBreak))
+	})
 	var reservations []Reservation
 	for _, c := range others {
 		if missing <= 0 || len(reservations) == maxHelpers {
@@ -46,7 +50,7 @@
 		}
 		tokens := min(missing, rtid.Tokens(helperMemoryShare*float64(engine.Memory-c.Load.Memory)))
 		if tokens < min(minReservation, missing) {
-			break
+			continue
 		}
 		reservations = append(reservations, Reservation{Target: c.Instance, Tokens: tokens})
 		missing -= tokens
