Reserve memory at the engines that prefill the prompt

Memory was reserved where the least was in use, which often is an engine for interactive requests: a part of a second or two that no load showed blocked its pass.

TestReservationsAtHelpers: red with the old order, green now. The test that had failed relied on one engine always being asked for memory; it now waits until the engine that announces something has been asked.

--- a/internal/rtgateway/notice_test.go
+++ b/internal/rtgateway/notice_test.go
@@ -155,6 +155,7 @@
 				noticing := slices.MaxFunc(b.targets, func(a, b *target) int { return commandsAt(a) - commandsAt(b) })
 				if test.where == reply {
 					noticing.setReply(http.StatusServiceUnavailable, test.notice+"\r\n")
+					b.sendUntilCommanded(noticing)
 				} else {
 					line, value, _ := strings.Cut(test.notice, ": ")
 					noticing.set(withHeader(line, value, refuseNotRun))
@@ -203,6 +204,18 @@
 	b.t.Errorf("%s was never selected", t.id)
 }
 
+// sendUntilCommanded sends prompts until a target has got a memory command.
+func (b *testbed) sendUntilCommanded(t *target) {
+	before := commandsAt(t)
+	for round := range 50 {
+		if commandsAt(t) > before {
+			return
+		}
+		b.sendLong(fmt.Sprint("until-", round, "-"), 5)
+	}
+	b.t.Errorf("%s has got no memory command", t.id)
+}
+
 // checkNotUsed checks that a target has got no requests since a time, and no parts of
 // others.
 func (b *testbed) checkNotUsed(unused *target, from time.Time) {
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
@@ -60,7 +59,7 @@
 		return nil, nil
 	}
 	for refusals := 0; ; refusals++ {
-		planned, err := d.gateway.planReservations(d.request, placement.Target, d.withoutMemory, inFlight)
+		planned, err := d.gateway.planReservations(d.request, placement, d.withoutMemory, inFlight)
 		if err != nil {
 			return nil, err
 		}
@@ -92,7 +91,7 @@
 // planReservations returns the memory that a request needs at other engines,
 // without the excluded ones, and records it as a load there. It returns an error if
 // they have too little.
-func (g *Gateway) planReservations(q *request, target *rtcatalog.Instance, excluded []rtid.Target,
+func (g *Gateway) planReservations(q *request, placement rtplacement.Placement, excluded []rtid.Target,
 	inFlight *rtplacement.InFlightRequest) ([]rtplacement.Reservation, error) {
 	view := g.views.View()
 	now := time.Now()
@@ -101,7 +100,7 @@
 	candidates, _ := g.candidates(view, g.cellInstances(view, q.service), q.service, excluded, false, now)
 	// Commands may count against a rate limit.
 	candidates = slices.DeleteFunc(candidates, func(c rtplacement.Candidate) bool { return c.Limited })
-	planned, ok := rtplacement.PlanReservations(q.service.Engine, q.work, target, candidates)
+	planned, ok := rtplacement.PlanReservations(q.service.Engine, q.work, placement, candidates)
 	if !ok {
 		return nil, errTooLittleMemory
 	}
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -227,7 +227,7 @@
 		for i := range candidates[1:] {
 			candidates[i+1].Load.Memory = test.used
 		}
-		reservations, ok := PlanReservations(publishedCosts, Work{Prompt: test.prompt, Output: 1000}, candidates[0].Instance, candidates)
+		reservations, ok := PlanReservations(publishedCosts, Work{Prompt: test.prompt, Output: 1000}, Placement{Target: candidates[0].Instance}, candidates)
 		if ok != test.ok || ok && len(reservations) != test.count {
 			t.Errorf("%s: got %d reservations, enough memory %v", test.name, len(reservations), ok)
 		}
@@ -336,7 +336,7 @@
 			candidates[j].Load.Memory = rtid.Tokens(j * 100)
 			candidates[j].TieBreak = uint32((j*37 + i*53) % 101)
 		}
-		reservations, ok := PlanReservations(publishedCosts, Work{Prompt: 400_000, Output: 1000}, candidates[engines-1].Instance, candidates)
+		reservations, ok := PlanReservations(publishedCosts, Work{Prompt: 400_000, Output: 1000}, Placement{Target: candidates[engines-1].Instance}, candidates)
 		if !ok || len(reservations) != 1 {
 			t.Fatalf("%d reservations, %v, want one", len(reservations), ok)
 		}
@@ -349,6 +349,38 @@
 	}
 }
 
+// Guards against memory at an engine outside the placement while its helpers have
+// enough: an engine that holds memory prefills a part, so that an engine for interactive
+// requests would block these.
+func TestReservationsAtHelpers(t *testing.T) {
+	work := longWork
+	work.Prompt = 500_000
+	for _, full := range []bool{false, true} {
+		candidates := idleEngines(40)
+		placement, ok := PlaceOnEngines(publishedCosts, work, candidates, PoolState{InteractiveEngines: 10, Gateways: 4})
+		if !ok {
+			t.Fatal("not placed")
+		}
+		for i := range candidates {
+			if helper := slices.Contains(placement.Helpers, candidates[i].Instance); helper {
+				candidates[i].Load.Memory = 100_000
+				if full {
+					candidates[i].Load.Memory = publishedCosts.Memory
+				}
+			}
+		}
+		reservations, ok := PlanReservations(publishedCosts, work, placement, candidates)
+		if !ok || len(reservations) == 0 {
+			t.Fatalf("helpers full %v: %d reservations, %v", full, len(reservations), ok)
+		}
+		for _, r := range reservations {
+			if slices.Contains(placement.Helpers, r.Target) == full {
+				t.Errorf("helpers full %v: memory at %s, helper %v", full, r.Target.ID, !full)
+			}
+		}
+	}
+}
+
 // Guards against a request that is sent to a target that takes only parts of it from
 // this process, and against parts that are kept from such targets: a large prompt needs
 // more engines than the parts of one of many gateways reach.
--- a/internal/rtplacement/reservation.go
+++ b/internal/rtplacement/reservation.go
@@ -28,20 +28,27 @@
 
 // PlanReservations returns the memory to reserve at other engines for a prompt
 // that is larger than the memory of its target, as few reservations as possible.
-// Prompts may be several times as large as the memory of an engine. It reports
-// false if the other candidates, at most maxHelpers of them, have too little
+// Prompts may be several times as large as the memory of an engine. An engine that
+// holds memory prefills a part, too, so the helpers of the placement come first. It
+// reports false if the other candidates, at most maxHelpers of them, have too little
 // free memory.
-func PlanReservations(engine *rtcatalog.Engine, work Work, target *rtcatalog.Instance, candidates []Candidate) ([]Reservation, bool) {
+func PlanReservations(engine *rtcatalog.Engine, work Work, placement Placement, candidates []Candidate) ([]Reservation, bool) {
 	missing := work.Prompt + work.Output - rtid.Tokens(targetMemoryShare*float64(engine.Memory))
 	if engine.Memory <= 0 || missing <= 0 {
 		return nil, true
 	}
 	missing = max(missing, minReservation)
-	others := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Instance.ID == target.ID })
+	others := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Instance.ID == placement.Target.ID })
+	isOther := func(c Candidate) int {
+		if slices.ContainsFunc(placement.Helpers, func(h *rtcatalog.Instance) bool { return h.ID == c.Instance.ID }) {
+			return 0
+		}
+		return 1
+	}
 	// Many processes plan by the same loads, so those that are about equal are taken in
 	// an order of this request's own.
 	slices.SortFunc(others, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(a.Load.Memory/minReservation, b.Load.Memory/minReservation), cmp.Compare(a.TieBreak, b.TieBreak))
+		return cmp.Or(cmp.Compare(isOther(a), isOther(b)), cmp.Compare(a.Load.Memory/minReservation, b.Load.Memory/minReservation), cmp.Compare(a.TieBreak, b.TieBreak))
 	})
 	var reservations []Reservation
 	for _, c := range others {
