Count interactive requests that a blocking part would hold up

A part over 0.9 s waited for engines that are nearly idle, but only requests that are not interactive counted. After a swing to long prompts the engines that have changed their pool decode interactive requests for a second or two.

Change: all requests count.

TestBlockingPartsBesideInteractive: red before, green after.

--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -43,8 +43,9 @@
 	// (four latency SLOs), so that the other half is left for the prefill or for a
 	// retry.
 	blockingWaitSLOs = 2
-	// maxBlockedRequests is the mean number of long requests at each engine that a
-	// blocking part may hold up.
+	// maxBlockedRequests is the mean number of requests at each engine that a blocking
+	// part may hold up. Interactive ones still decode at an engine for a second or two
+	// after it has changed its pool.
 	maxBlockedRequests = 0.3
 	// negligibleBacklog is a backlog that adds little to the duration of a part
 	// that is long itself.
@@ -106,7 +107,7 @@
 		// Even idle engines cannot prefill it within its latency SLO.
 		return Refuse
 	}
-	idle := placement.PrefillBacklog <= idleBacklog && placement.LongRequests <= maxBlockedRequests
+	idle := placement.PrefillBacklog <= idleBacklog && placement.Requests <= maxBlockedRequests
 	switch {
 	case idle && placement.PartPrefill <= work.LatencySLO:
 		return Send
--- a/internal/rtplacement/place.go
+++ b/internal/rtplacement/place.go
@@ -36,7 +36,7 @@
 	PredictedFirstEvent time.Duration         // from now
 	PartPrefill         time.Duration         // predicted prefill time at each of these targets
 	PrefillBacklog      time.Duration         // of other requests at them, mean
-	LongRequests        float64               // requests at them that are not interactive, mean
+	Requests            float64               // in flight at them, mean
 }
 
 const (
@@ -246,7 +246,7 @@
 		Target:              chosen[target].Instance,
 		PartPrefill:         partPrefill,
 		PrefillBacklog:      total.PrefillBacklog / time.Duration(count),
-		LongRequests:        float64(total.Requests-total.Interactive) / float64(count),
+		Requests:            float64(total.Requests) / float64(count),
 		PredictedFirstEvent: longest + partPrefill + DecodePassTime(engine, Load{Requests: 1, Context: work.Prompt / rtid.Tokens(count)}),
 	}
 	for i, c := range chosen {
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -51,8 +51,8 @@
 	busyPool := LongPoolLoad{PrefillBacklog: 400 * time.Millisecond, Engines: 21}
 	idlePool := LongPoolLoad{Engines: 21}
 	fewEngines := LongPoolLoad{Engines: 5}
-	withLoad := func(placement Placement, backlog time.Duration, longRequests float64) Placement {
-		placement.PrefillBacklog, placement.LongRequests = backlog, longRequests
+	withLoad := func(placement Placement, backlog time.Duration, requests float64) Placement {
+		placement.PrefillBacklog, placement.Requests = backlog, requests
 		return placement
 	}
 	withPart := func(prefill time.Duration) Placement {
@@ -381,6 +381,34 @@
 	}
 }
 
+// Guards against a part of a second or more at engines that still decode interactive
+// requests, after a swing from short to long prompts has given them to the other pool.
+func TestBlockingPartsBesideInteractive(t *testing.T) {
+	work := longWork
+	work.Prompt = 500_000
+	tests := []struct {
+		name        string
+		interactive int // requests at each engine
+		want        Decision
+	}{
+		{"idle engines", 0, Send},
+		{"interactive requests at each", 2, Wait},
+	}
+	for _, test := range tests {
+		candidates := idleEngines(40)
+		for i := range candidates {
+			candidates[i].Load = Load{Requests: test.interactive, Interactive: test.interactive}
+		}
+		placement, ok := PlaceOnEngines(publishedCosts, work, candidates, PoolState{InteractiveEngines: 10, Gateways: 4})
+		if !ok || placement.PartPrefill <= blockingPart {
+			t.Fatalf("placed %v, parts of %v, want them to block", ok, placement.PartPrefill)
+		}
+		if got := Admit(work, placement, LongPoolLoadOf(candidates, 10)); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // Guards against a request that is sent to a target that takes only parts of it from
 // this process, and against parts that are kept from such targets: a large prompt needs
 // more engines than the parts of one of many gateways reach.
