Leave out engines that take neither the request nor a part

Found by reading the change, then by a property test within nine cases: an engine that limits its rate takes no parts, and one whose part of the requests this gateway has used takes no request. One that is both was kept as the one limited engine in place of another, so that the placement had no target and panicked while it held the lock of the gateway, or it became the target.

Change: such engines are left out first.

TestPlacementOfAnyCandidates: red (index out of range) before; 20,000 cases green.

--- a/internal/rtplacement/place.go
+++ b/internal/rtplacement/place.go
@@ -97,6 +97,8 @@
 	if !slices.ContainsFunc(candidates, Candidate.mayBeTarget) {
 		return Placement{}, false
 	}
+	// A target with a rate limit takes no parts of others.
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Limited && c.HelperOnly })
 	sorted := sortedByHash(atMostOneLimited(candidates))
 	border := min(pools.InteractiveEngines, len(sorted))
 	if work.Interactive() {
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
@@ -461,6 +463,39 @@
 	}
 }
 
+// Guards against a placement that panics, has a target that takes no request, uses one
+// for nothing but parts that takes none, or uses one twice, whatever the candidates are.
+func TestPlacementOfAnyCandidates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := idleEngines(rapid.IntRange(0, 24).Draw(t, "engines"))
+		flag := rapid.Bool()
+		for i := range candidates {
+			c := &candidates[i]
+			c.Limited, c.HelperOnly = flag.Draw(t, "limited") && flag.Draw(t, "limited"), flag.Draw(t, "helper only")
+			c.Load.Requests = rapid.IntRange(0, 3).Draw(t, "requests")
+			c.Load.PrefillBacklog = time.Duration(rapid.IntRange(0, 2).Draw(t, "backlog")) * blockingPart * 3 / 4
+		}
+		work := rapid.SampledFrom([]Work{shortWork, longWork}).Draw(t, "work")
+		work.Prompt = rtid.Tokens(rapid.IntRange(1, 800_000).Draw(t, "prompt"))
+		pools := PoolState{InteractiveEngines: rapid.IntRange(0, 24).Draw(t, "interactive"), Gateways: rapid.IntRange(1, 40).Draw(t, "gateways")}
+		placement, ok := PlaceOnEngines(publishedCosts, work, candidates, pools)
+		if possible := slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.HelperOnly }); ok != possible {
+			t.Fatalf("placed %v, want %v", ok, possible)
+		}
+		if !ok {
+			return
+		}
+		used := make(map[*rtcatalog.Instance]bool)
+		for i, instance := range append([]*rtcatalog.Instance{placement.Target}, placement.Helpers...) {
+			c := candidates[slices.IndexFunc(candidates, func(c Candidate) bool { return c.Instance == instance })]
+			if used[instance] || i == 0 && c.HelperOnly || i > 0 && c.Limited {
+				t.Errorf("place %d of the request: %+v", i, c)
+			}
+			used[instance] = true
+		}
+	})
+}
+
 // Guards against a request without a prompt that is sent to a target which takes none
 // from this process.
 func TestHelperOnlyOfService(t *testing.T) {
