--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -117,12 +117,11 @@
 			continue
 		}
 		candidate := rtplacement.Candidate{
-			Instance: instance,
-			Load:     g.loads.Load(instance.ID, now),
-			Hash:     targetHash(instance.ID),
-			TieBreak: rand.Uint32(),
-			Limited:  limited,
-
+			Instance:   instance,
+			Load:       g.loads.Load(instance.ID, now),
+			Hash:       targetHash(instance.ID),
+			TieBreak:   rand.Uint32(),
+			Limited:    limited,
 			HelperOnly: helperOnly,
 		}
 		if instance.Zone != g.settings.Zone {
@@ -137,8 +136,7 @@
 			healthy = append(healthy, candidate)
 		}
 	}
-	mayBeTarget := func(c rtplacement.Candidate) bool { return !c.HelperOnly }
-	if !slices.ContainsFunc(healthy, mayBeTarget) {
+	if !slices.ContainsFunc(healthy, rtplacement.Candidate.MayBeTarget) {
 		return slices.DeleteFunc(coolingDown, func(c rtplacement.Candidate) bool { return c.HelperOnly }), kept
 	}
 	return healthy, kept
--- a/internal/rtplacement/place.go
+++ b/internal/rtplacement/place.go
@@ -94,7 +94,7 @@
 // PlaceOnEngines selects the target and the helpers of a request. It reports
 // false if no candidate may be the target.
 func PlaceOnEngines(engine *rtcatalog.Engine, work Work, candidates []Candidate, pools PoolState) (Placement, bool) {
-	if !slices.ContainsFunc(candidates, Candidate.mayBeTarget) {
+	if !slices.ContainsFunc(candidates, Candidate.MayBeTarget) {
 		return Placement{}, false
 	}
 	// A target with a rate limit takes no parts of others.
@@ -107,7 +107,7 @@
 		preferred := append(slices.Clone(pools.sample(targets, count+1)), pools.sample(helpers, count-1)...)
 		otherTargets, _ := split(sorted[border:])
 		all := append(slices.Clone(preferred), pools.sample(otherTargets, 1)...)
-		if !slices.ContainsFunc(all, Candidate.mayBeTarget) {
+		if !slices.ContainsFunc(all, Candidate.MayBeTarget) {
 			// All targets of the own pool are blocked.
 			blocked, _ := split(sorted[:border])
 			all = append(all, pools.sample(blocked, 1)...)
@@ -123,7 +123,7 @@
 		all = pools.sample(long, count+spareEngines)
 	}
 	preferred := len(all)
-	if !slices.ContainsFunc(all, Candidate.mayBeTarget) {
+	if !slices.ContainsFunc(all, Candidate.MayBeTarget) {
 		targets, _ := split(long)
 		if len(targets) == 0 {
 			targets, _ = split(sorted)
@@ -135,13 +135,14 @@
 	return place(engine, work, all, preferred, count), true
 }
 
-func (c Candidate) mayBeTarget() bool { return !c.HelperOnly }
+// MayBeTarget reports whether the request may be sent to the candidate.
+func (c Candidate) MayBeTarget() bool { return !c.HelperOnly }
 
 // split returns the candidates that may be the target, and those that may be helpers
 // only.
 func split(candidates []Candidate) (targets, helpers []Candidate) {
 	for _, c := range candidates {
-		if c.mayBeTarget() {
+		if c.MayBeTarget() {
 			targets = append(targets, c)
 		} else {
 			helpers = append(helpers, c)
@@ -232,7 +233,7 @@
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.TieBreak, b.TieBreak))
 	})
 	// The best one that may be the target is among the chosen.
-	if first := slices.IndexFunc(all, func(r ranked) bool { return r.mayBeTarget() }); first >= count {
+	if first := slices.IndexFunc(all, func(r ranked) bool { return r.MayBeTarget() }); first >= count {
 		all[count-1], all[first] = all[first], all[count-1]
 	}
 	chosen := make([]Candidate, 0, count)
@@ -272,7 +273,7 @@
 // those that may be the target. It becomes the target, which holds the prompt and
 // decodes. A candidate with a rate limit always does.
 func mostFreeMemory(engine *rtcatalog.Engine, chosen []Candidate) int {
-	best := slices.IndexFunc(chosen, Candidate.mayBeTarget)
+	best := slices.IndexFunc(chosen, Candidate.MayBeTarget)
 	for i := range chosen {
 		if chosen[i].Limited {
 			return i // it must not be a helper
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -468,10 +468,9 @@
 func TestPlacementOfAnyCandidates(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		candidates := idleEngines(rapid.IntRange(0, 24).Draw(t, "engines"))
-		flag := rapid.Bool()
 		for i := range candidates {
 			c := &candidates[i]
-			c.Limited, c.HelperOnly = flag.Draw(t, "limited") && flag.Draw(t, "limited"), flag.Draw(t, "helper only")
+			c.Limited, c.HelperOnly = rapid.IntRange(0, 3).Draw(t, "limited") == 0, rapid.Bool().Draw(t, "helper only")
 			c.Load.Requests = rapid.IntRange(0, 3).Draw(t, "requests")
 			c.Load.PrefillBacklog = time.Duration(rapid.IntRange(0, 2).Draw(t, "backlog")) * blockingPart * 3 / 4
 		}
--- a/internal/rtplacement/reservation.go
+++ b/internal/rtplacement/reservation.go
@@ -39,7 +39,8 @@
 	}
 	missing = max(missing, minReservation)
 	others := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Instance.ID == placement.Target.ID })
-	isOther := func(c Candidate) int {
+	// outside returns 0 for the helpers of the placement and 1 for others.
+	outside := func(c Candidate) int {
 		if slices.ContainsFunc(placement.Helpers, func(h *rtcatalog.Instance) bool { return h.ID == c.Instance.ID }) {
 			return 0
 		}
@@ -48,7 +49,7 @@
 	// Many processes plan by the same loads, so those that are about equal are taken in
 	// an order of this request's own.
 	slices.SortFunc(others, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(isOther(a), isOther(b)), cmp.Compare(a.Load.Memory/minReservation, b.Load.Memory/minReservation), cmp.Compare(a.TieBreak, b.TieBreak))
+		return cmp.Or(cmp.Compare(outside(a), outside(b)), cmp.Compare(a.Load.Memory/minReservation, b.Load.Memory/minReservation), cmp.Compare(a.TieBreak, b.TieBreak))
 	})
 	var reservations []Reservation
 	for _, c := range others {
