Look for memory also when the gateway has used its parts of requests

Found by reading the change: the engines asked for memory were those of a placement, and these are none but targets in cooldown once no engine may get a request from this gateway, which a busy one with few parts reaches in taking the last one for the very prompt. It was refused with "no memory for the prompt". And targets that limit their rate counted as free places though this gateway had used its part of them.

Change: what is usable, and what that means for a request, are two functions.

TestPromptOfOneOfManyGateways now asks for memory after all parts are used: red before, green after.

--- a/internal/rtgateway/coldrate_test.go
+++ b/internal/rtgateway/coldrate_test.go
@@ -115,6 +115,12 @@
 		}
 		sent[placed.Target.ID]++
 	}
+	// Its parts are used, but memory for a prompt needs none.
+	q.work = work
+	inFlight := g.loads.Start(placed.Placement, work, time.Now())
+	if _, err := g.planReservations(q, placed.Placement, nil, inFlight); err != nil {
+		t.Errorf("memory for a prompt of %d tokens among idle engines: %v", work.Prompt, err)
+	}
 	const allowed = 14*1.5 + 5.0
 	limit := int(math.Floor(coldRateShare * allowed))
 	for _, instance := range instances {
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -77,14 +77,24 @@
 	other   bool          // some are kept out by something else that passes soon
 }
 
-// candidates returns the targets that may receive a request now. Targets in
-// cooldown are returned only if there are no others. Targets that have been replaced,
-// that are leaving or that want no requests are not returned even then. It also
-// returns what keeps the others out. The caller holds mu.
+// candidates returns the targets that may receive a request now, and the engines that
+// may help with it. Targets in cooldown are returned only if no other may receive it. It
+// also returns what keeps the others out. The caller holds mu.
 func (g *Gateway) candidates(view *rtcatalog.View, instances []*rtcatalog.Instance, service *rtcatalog.Service,
 	tried []rtid.Target, short bool, now time.Time) ([]rtplacement.Candidate, keptOut) {
-	var healthy, coolingDown []rtplacement.Candidate
-	var kept keptOut
+	healthy, coolingDown, kept := g.usable(view, instances, service, tried, short, now)
+	if !slices.ContainsFunc(healthy, rtplacement.Candidate.MayBeTarget) {
+		return slices.DeleteFunc(coolingDown, func(c rtplacement.Candidate) bool { return c.HelperOnly }), kept
+	}
+	return healthy, kept
+}
+
+// usable returns the targets that may receive a request or a part of one now, those in
+// cooldown apart. Targets that have been replaced, that are leaving or that want no
+// requests are in neither. It also returns what keeps the others out. The caller holds
+// mu.
+func (g *Gateway) usable(view *rtcatalog.View, instances []*rtcatalog.Instance, service *rtcatalog.Service,
+	tried []rtid.Target, short bool, now time.Time) (healthy, coolingDown []rtplacement.Candidate, kept keptOut) {
 	for _, instance := range instances {
 		g.forgetPredecessor(instance)
 		instance = g.atAddress(view, instance, now)
@@ -111,7 +121,7 @@
 		wait, limited := g.limitWait(instance, short, now)
 		if wait > 0 {
 			kept.other = true
-			if !now.Before(g.cooldowns[instance.ID].until) {
+			if !helperOnly && !now.Before(g.cooldowns[instance.ID].until) {
 				kept.places = append(kept.places, wait)
 			}
 			continue
@@ -136,10 +146,7 @@
 			healthy = append(healthy, candidate)
 		}
 	}
-	if !slices.ContainsFunc(healthy, rtplacement.Candidate.MayBeTarget) {
-		return slices.DeleteFunc(coolingDown, func(c rtplacement.Candidate) bool { return c.HelperOnly }), kept
-	}
-	return healthy, kept
+	return healthy, coolingDown, kept
 }
 
 // atAddress returns the instance that has the address of a listed one: the listed one,
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -97,7 +97,10 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	candidates, _ := g.candidates(view, g.cellInstances(view, q.service), q.service, excluded, false, now)
+	candidates, coolingDown, _ := g.usable(view, g.cellInstances(view, q.service), q.service, excluded, false, now)
+	if len(candidates) == 0 {
+		candidates = coolingDown
+	}
 	// Commands may count against a rate limit.
 	candidates = slices.DeleteFunc(candidates, func(c rtplacement.Candidate) bool { return c.Limited })
 	planned, ok := rtplacement.PlanReservations(q.service.Engine, q.work, placement, candidates)
