--- a/internal/rtgateway/coldrate_test.go
+++ b/internal/rtgateway/coldrate_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,7 +63,7 @@
 	processes int
 }
 
-func (p hashedPeers) LiveInCell() int      { return p.processes }
+func (p hashedPeers) LiveInCell() int      { return min(p.processes, 34) }
 func (p hashedPeers) BudgetProcesses() int { return p.processes }
 func (p hashedPeers) BudgetShare(key string) rtlimit.Share {
 	return rtlimit.Share{Rank: int(xxhash.Sum64String(key) % uint64(p.processes)), Processes: p.processes}
@@ -73,13 +74,11 @@
 
 func (v oneView) View() *rtcatalog.View { return v.view }
 
-// Guards against prompts that are split over the few engines to which one of many
-// gateways may send a request, and so are late or refused, and against requests to the
-// others.
-func TestPromptOfOneOfManyGateways(t *testing.T) {
-	const engines, gateways, maxParts = 86, 68, 17
+// newGatewayOfMany returns one of many gateways before idle engines that may be cold, and
+// a request to them.
+func newGatewayOfMany(gateways, engines int, coldRate float64) (*Gateway, *request) {
 	config := newConfiguration(1)
-	config.Services = []rtcatalog.Service{{Name: "work", ColdRate: 14, Engine: &rtcatalog.Engine{
+	config.Services = []rtcatalog.Service{{Name: "work", ColdRate: coldRate, Engine: &rtcatalog.Engine{
 		Slots: 10, Memory: 315000, StepsPerPass: 51, StepTime: 850 * time.Microsecond,
 		PrefillPerToken: 5650 * time.Nanosecond, PrefillPerMillionPairs: 184 * time.Microsecond,
 	}}}
@@ -91,41 +90,53 @@
 		})
 	}
 	view := rtcatalog.NewView(rtid.StoreRevision{Number: 1}, config, nil, instances)
-	peers := hashedPeers{processes: gateways}
 	g := New(Settings{Bounds: Bounds{ColdFactor: 1.5, ColdSlack: 5}}, Dependencies{
-		Log: logr.Discard(), Peers: peers, Views: oneView{view}, OnNews: func() {},
+		Log: logr.Discard(), Peers: hashedPeers{processes: gateways}, Views: oneView{view}, OnNews: func() {},
 	})
-	service := view.Configuration.Service("work")
-	q := &request{view: view, service: service, route: &view.Configuration.Routes[0]}
-	work := rtplacement.Work{Prompt: 500_000, Output: 800, LatencySLO: 4 * time.Second, GapSLO: 1200 * time.Millisecond, AbandonTimeout: 16 * time.Second}
-	placed, ok := g.place(q, work, nil)
-	if !ok || placed.Decision != rtplacement.Send || 1+len(placed.Helpers) != maxParts {
-		t.Errorf("prompt of %d tokens among idle engines: placed %v, %v, in %d parts, want it sent in %d", work.Prompt, ok, placed.Decision, 1+len(placed.Helpers), maxParts)
-	}
-	// Short prompts until the gateway has used its parts.
+	return g, &request{view: view, service: config.Service("work"), route: &config.Routes[0]}
+}
+
+// Guards against prompts that are split over the few engines to which one of many
+// gateways may send a request, and so are late or refused, and against requests to the
+// others.
+func TestPromptOfOneOfManyGateways(t *testing.T) {
+	const (
+		engines, maxParts = 86, 17
+		coldRate          = 14
+		allowed           = coldRate*1.5 + 5.0 // by newGatewayOfMany
+	)
+	large := rtplacement.Work{Prompt: 500_000, Output: 800, LatencySLO: 4 * time.Second, GapSLO: 1200 * time.Millisecond, AbandonTimeout: 16 * time.Second}
 	short := rtplacement.Work{Prompt: 3000, Output: 800, LatencySLO: 400 * time.Millisecond, GapSLO: 300 * time.Millisecond, AbandonTimeout: 2 * time.Second}
-	sent := make(map[rtid.Target]int)
-	if ok {
-		sent[placed.Target.ID]++
-	}
-	for {
-		placed, ok := g.place(q, short, nil)
-		if !ok {
-			break
-		}
-		sent[placed.Target.ID]++
-	}
-	// Its parts are used, but memory for a prompt needs none.
-	q.work = work
-	inFlight := g.loads.Start(placed.Placement, work, time.Now())
-	if _, err := g.planReservations(q, placed.Placement, nil, inFlight); err != nil {
-		t.Errorf("memory for a prompt of %d tokens among idle engines: %v", work.Prompt, err)
-	}
-	const allowed = 14*1.5 + 5.0
-	limit := int(math.Floor(coldRateShare * allowed))
-	for _, instance := range instances {
-		if part := peers.BudgetShare("cold " + string(instance.ID)).Part(limit); sent[instance.ID] != part {
-			t.Errorf("%d requests to %s within a second, want the part of this gateway, %d", sent[instance.ID], instance.ID, part)
-		}
+	for _, gateways := range []int{4, 68, 300} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, q := newGatewayOfMany(gateways, engines, coldRate)
+				q.work = large
+				placed, ok := g.place(q, large, nil)
+				if !ok || placed.Decision != rtplacement.Send || 1+len(placed.Helpers) != maxParts {
+					t.Fatalf("prompt of %d tokens among idle engines: placed %v, %v, in %d parts, want it sent in %d", large.Prompt, ok, placed.Decision, 1+len(placed.Helpers), maxParts)
+				}
+				// Short prompts until the gateway has used its parts, at one moment.
+				q.work = short
+				sent := map[rtid.Target]int{placed.Target.ID: 1}
+				for {
+					next, ok := g.place(q, short, nil)
+					if !ok {
+						break
+					}
+					sent[next.Target.ID]++
+				}
+				limit := int(math.Floor(coldRateShare * allowed))
+				for _, instance := range q.view.Instances("work") {
+					if part := g.peers.BudgetShare("cold " + string(instance.ID)).Part(limit); sent[instance.ID] != part {
+						t.Errorf("%d requests to %s within a second, want the part of this gateway, %d", sent[instance.ID], instance.ID, part)
+					}
+				}
+				q.work = large
+				if _, err := g.planReservations(q, placed.Placement, nil, placed.inFlight); err != nil {
+					t.Errorf("memory for a prompt of %d tokens, which needs no part: %v", large.Prompt, err)
+				}
+			})
+		})
 	}
 }
