review: a continued stream ends with another server's failure and looks whole (case 1)

Found by reading relay.go: a stamped response below 500 to the request that continues a stream is written behind the events that the caller has already, and the answer then gets its regular end (MIXED, ORDER). Adds the stand-ins of the review with it.

--- /dev/null
+++ b/review/standin/config.go
@@ -0,0 +1,33 @@
+package main
+
+import "time"
+
+// coldStart is how long a server is cold after its start.
+const coldStart = 10 * time.Second
+
+// route returns a route of the configuration.
+func route(name, prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
+	return map[string]any{
+		"name": name, "host": clientHost, "pathPrefix": prefix, "type": kind, "timeoutMs": timeoutMs, "targetLatencyMs": targetMs,
+		"priority": 1, "service": service, "maxAttempts": attempts, "public": false, "sticky": false, "resumable": kind == "streaming",
+		"targetGapMs": 250,
+	}
+}
+
+// service returns a service of the configuration.
+func service(name string, coldPerS float64) map[string]any {
+	return map[string]any{
+		"name": name, "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": false, "coldStartS": coldStart.Seconds(), "coldPerS": coldPerS,
+	}
+}
+
+// configure writes a configuration.
+func (w *world) configure(version int, routes, services []map[string]any) error {
+	err := w.put("op/config", map[string]any{
+		"version": version, "routes": routes, "services": services,
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []map[string]any{{"name": "tenant", "apiKeys": []string{clientKey}, "priority": 1}},
+	})
+	w.record("operator: version %d of the configuration is confirmed", version)
+	return err
+}
