review: show what cases 3 and 5 cost, filings without an answer

The leaving server of case 3 now ends as planned after 3.2 s, and the cold one of case 5 crashes at five times its rate; filings that run there get 502.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -92,3 +93,16 @@
 		}
 	}
 }
+
+// recordLost records which of the runs their clients never got an answer to, as a
+// consequence of what a case shows.
+func (c *clients) recordLost(where string, runs []run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.answers {
+		ran := slices.ContainsFunc(runs, func(r run) bool { return r.request == a.request })
+		if ran && a.stamp == "" && a.status != 0 { // 0: its gateway was killed
+			c.world.record("consequence: %s began to run at %s and got status %d", a.request, where, a.status)
+		}
+	}
+}
--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,18 +25,21 @@
 	// so many requests in so short a time.
 	clumpTime = 200 * time.Millisecond
 	clumpSize = 5
+	// crashCount is how many requests in a second a cold server bears, five times what
+	// it sustains: it crashes at a rate well above that.
+	crashCount = 5 * coldPerS
 )
 
-// arrivals are the times at which requests reached a server.
+// arrivals are the requests that reached a server.
 type arrivals struct {
-	mu    sync.Mutex
-	times []time.Time
+	mu   sync.Mutex
+	runs []run
 }
 
-func (a *arrivals) add() {
+func (a *arrivals) add(r run) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.times = append(a.times, time.Now())
+	a.runs = append(a.runs, r)
 }
 
 // within returns how many requests arrived in the last span.
@@ -44,7 +47,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	since := time.Now().Add(-span)
-	return len(a.times) - slices.IndexFunc(append(slices.Clone(a.times), time.Now()), since.Before)
+	count := 0
+	for _, r := range a.runs {
+		if r.at.After(since) {
+			count++
+		}
+	}
+	return count
 }
 
 // most returns the most requests in any second, and when that second began.
@@ -52,15 +61,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	best, at := 0, time.Time{}
-	for i, from := range a.times {
+	for i, from := range a.runs {
 		n := 0
-		for _, other := range a.times[i:] {
-			if other.Sub(from) < time.Second {
+		for _, other := range a.runs[i:] {
+			if other.at.Sub(from.at) < time.Second {
 				n++
 			}
 		}
 		if n > best {
-			best, at = n, from
+			best, at = n, from.at
 		}
 	}
 	return best, at
@@ -69,16 +78,23 @@
 // playCold: all gateways are killed at the same moment and start again, while a server
 // that has started again is cold.
 func playCold(ctx context.Context, w *world, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("lookup", "/lookup/", "safe", "cold", 800, 300, 2)}
+	routes := []map[string]any{route("filing", "/filing/", "unsafe", "cold", 800, 300, 1)}
 	if err := w.configure(1, routes, []map[string]any{service("cold", coldPerS)}); err != nil {
 		return nil, err
 	}
 	var arrived arrivals
+	var crashed atomic.Bool
 	s, err := w.addServer("i-cold", "cold", func(s *server, rw http.ResponseWriter, r *http.Request) {
-		arrived.add()
-		w.record("server: %s gets %s", s.id, r.Header.Get("X-Attempt-Id"))
+		request := r.Header.Get("X-Attempt-Id")
+		arrived.add(run{server: s.id, request: request, at: time.Now()})
+		w.record("server: %s runs %s", s.id, request)
+		if s.cold() && arrived.within(time.Second) > crashCount && !crashed.Swap(true) {
+			w.record("server %s crashes under its load", s.id)
+			s.crash()
+		}
+		time.Sleep(60 * time.Millisecond)
 		s.stamp(rw, r)
-		_, _ = io.WriteString(rw, "found")
+		_, _ = io.WriteString(rw, "filed")
 	})
 	if err != nil {
 		return nil, err
@@ -93,8 +109,8 @@
 	for _, g := range w.gateways {
 		c.wait.Go(func() {
 			c.stream(ctx, coldRate, coldLength, func() {
-				id := c.newID("l")
-				c.send(ctx, g, http.MethodGet, "/lookup/"+id, id, 1500*time.Millisecond, "")
+				id := c.newID("f")
+				c.send(ctx, g, http.MethodPost, "/filing/"+id, id, filingDeadline, "transcript")
 			})
 		})
 	}
@@ -103,6 +119,9 @@
 	s.mu.Lock()
 	s.coldLeft = coldStart
 	s.mu.Unlock()
+	arrived.mu.Lock()
+	arrived.runs = nil
+	arrived.mu.Unlock()
 	if err := s.restart(); err != nil {
 		return nil, err
 	}
@@ -118,8 +137,9 @@
 	}
 	c.wait.Wait()
 	allowed := coldPerS*coldOvershoot + coldSlack
+	c.recordLost("the cold server that has crashed", arrived.runs)
 	most, at := arrived.most()
-	w.record("the cold server got at most %d requests in a second, allowed are %.1f; %d in all", most, allowed, len(arrived.times))
+	w.record("the cold server got at most %d requests in a second, allowed are %.1f; %d in all", most, allowed, len(arrived.runs))
 	if float64(most) > allowed {
 		return []string{fmt.Sprintf("FAILBACK: the cold server got %d requests in the second from %.3f, allowed are %.1f",
 			most, at.Sub(w.started).Seconds(), allowed)}, nil
@@ -127,6 +147,14 @@
 	return nil, nil
 }
 
+// cold reports whether the server has started again and is cold. The cases do not last
+// longer than that.
+func (s *server) cold() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.coldLeft > 0
+}
+
 // herdKill kills all gateways at the same moment and starts them again.
 func (w *world) herdKill(ctx context.Context) error {
 	killAll(w.gateways)
--- a/review/standin/oddentry.go
+++ b/review/standin/oddentry.go
@@ -14,7 +14,8 @@
 const (
 	// serveTime is how long the leaving server goes on serving after its report:
 	// drainMs and a little longer (at times many seconds).
-	serveTime = 5 * time.Second
+	serveTime = 3200 * time.Millisecond
+	oddLength = 4500 * time.Millisecond // of the clients' traffic
 	// oddAt is when the other writer writes, after the report of the server.
 	oddAt     = 2500 * time.Millisecond
 	orderRate = 25 * time.Millisecond // between two requests
@@ -23,7 +24,7 @@
 // playOddEntry: a server reports that it is draining, and later another writer leaves an
 // entry with missing fields under its key.
 func playOddEntry(ctx context.Context, w *world, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("lookup", "/lookup/", "safe", "registry", 800, 300, 2)}
+	routes := []map[string]any{route("filing", "/filing/", "unsafe", "registry", 800, 300, 1)}
 	if err := w.configure(1, routes, []map[string]any{service("registry", 0)}); err != nil {
 		return nil, err
 	}
@@ -38,9 +39,9 @@
 				atLeaving = append(atLeaving, run{server: s.id, request: request, at: time.Now()})
 				mu.Unlock()
 			}
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(60 * time.Millisecond)
 			s.stamp(rw, r)
-			_, _ = io.WriteString(rw, "found")
+			_, _ = io.WriteString(rw, "filed")
 		}); err != nil {
 			return nil, err
 		}
@@ -60,9 +61,9 @@
 	c := newClients(w)
 	for _, g := range w.gateways {
 		c.wait.Go(func() {
-			c.stream(ctx, orderRate, serveTime-500*time.Millisecond, func() {
-				id := c.newID("l")
-				c.send(ctx, g, http.MethodGet, "/lookup/"+id, id, 1500*time.Millisecond, "")
+			c.stream(ctx, orderRate, oddLength, func() {
+				id := c.newID("f")
+				c.send(ctx, g, http.MethodPost, "/filing/"+id, id, filingDeadline, "transcript")
 			})
 		})
 	}
@@ -76,9 +77,14 @@
 		}
 		w.record("another writer has left an entry without version, coldLeftMs, sequence and born under %s", leaving.key())
 	}
+	sleep(ctx, time.Until(reported.Add(serveTime)))
+	leaving.crash()
+	w.store.Put(leaving.key(), nil)
+	w.record("%s has ended as planned, and its entry is removed", leaving.id)
 	c.wait.Wait()
 	mu.Lock()
 	defer mu.Unlock()
+	c.recordLost("the server that has ended as planned", atLeaving)
 	var broken []string
 	for _, r := range atLeaving {
 		if after := r.at.Sub(reported); after > drainBound {
