--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -78,7 +78,7 @@
 // playCold: all gateways are killed at the same moment and start again, while a server
 // that has started again is cold.
 func playCold(ctx context.Context, w *world, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("filing", "/filing/", "unsafe", "cold", 800, 300, 1)}
+	routes := []map[string]any{route("filing", "/filing/", "unsafe", "cold", 800, 1)}
 	if err := w.configure(1, routes, []map[string]any{service("cold", coldPerS)}); err != nil {
 		return nil, err
 	}
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -5,10 +5,10 @@
 // coldStart is how long a server is cold after its start.
 const coldStart = 10 * time.Second
 
-// route returns a route of the configuration.
-func route(name, prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
+// route returns a route of the configuration, with a latency objective of 300 ms.
+func route(name, prefix, kind, service string, timeoutMs, attempts int) map[string]any {
 	return map[string]any{
-		"name": name, "host": clientHost, "pathPrefix": prefix, "type": kind, "timeoutMs": timeoutMs, "targetLatencyMs": targetMs,
+		"name": name, "host": clientHost, "pathPrefix": prefix, "type": kind, "timeoutMs": timeoutMs, "targetLatencyMs": 300,
 		"priority": 1, "service": service, "maxAttempts": attempts, "public": false, "sticky": false, "resumable": kind == "streaming",
 		"targetGapMs": 250,
 	}
--- a/review/standin/continued.go
+++ b/review/standin/continued.go
@@ -19,6 +19,7 @@
 	// x 0.45, for 6.5 s. Of seven servers that is one each.
 	streamServers  = 7
 	greyShare      = 0.45
+	greyLength     = 6500 * time.Millisecond
 	crashLength    = time.Second
 	crashInterval  = 2 * time.Second
 	crashes        = 3
@@ -43,7 +44,7 @@
 // playContinued: a server crashes in the middle of its streams, and a grey server fails
 // some of the requests that continue them, with a status of 404 and its stamp.
 func playContinued(ctx context.Context, w *world, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("draft", "/draft/", "streaming", "engine", 10000, 300, 2)}
+	routes := []map[string]any{route("draft", "/draft/", "streaming", "engine", 10000, 2)}
 	if err := w.configure(1, routes, []map[string]any{service("engine", 0)}); err != nil {
 		return nil, err
 	}
@@ -77,6 +78,7 @@
 		return nil, ctx.Err()
 	}
 	grey.Store(trouble)
+	time.AfterFunc(greyLength, func() { grey.Store(false) })
 	crashed := make(chan error, 1)
 	go func() { crashed <- crashInTurn(ctx, w.servers[0], trouble) }()
 	c := newClients(w)
--- a/review/standin/oddentry.go
+++ b/review/standin/oddentry.go
@@ -24,7 +24,7 @@
 // playOddEntry: a server reports that it is draining, and later another writer leaves an
 // entry with missing fields under its key.
 func playOddEntry(ctx context.Context, w *world, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("filing", "/filing/", "unsafe", "registry", 800, 300, 1)}
+	routes := []map[string]any{route("filing", "/filing/", "unsafe", "registry", 800, 1)}
 	if err := w.configure(1, routes, []map[string]any{service("registry", 0)}); err != nil {
 		return nil, err
 	}
--- a/review/standin/readers.go
+++ b/review/standin/readers.go
@@ -16,8 +16,8 @@
 const (
 	// The site kvt-windhoek has four edge machines and three spare ones.
 	allGateways = 7
-	// Dose of node_kill: 3.5 s.
-	killLength = 3500 * time.Millisecond
+	// killLength is how long the processes are down: node_kill has 3.5 s at most.
+	killLength = 3400 * time.Millisecond
 	// A config_storm has a change each 0.06 to 0.33 s.
 	stormGap     = 150 * time.Millisecond
 	movedVersion = 4
@@ -34,7 +34,7 @@
 // playReaders: those gateways that read the store are killed at the same moment, and a
 // route is moved to another service.
 func playReaders(ctx context.Context, w *world, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("lookup", "/lookup/", "safe", "old", 800, 300, 2)}
+	routes := []map[string]any{route("lookup", "/lookup/", "safe", "old", 800, 2)}
 	services := []map[string]any{service("old", 0), service("new", 0)}
 	if err := w.configure(1, routes, services); err != nil {
 		return nil, err
@@ -67,6 +67,7 @@
 	if len(others) == 0 {
 		return nil, errors.New("all gateways read the store")
 	}
+	var killed time.Time
 	// Configurations in quick succession, of which the third moves the route.
 	for version := 2; version < movedVersion; version++ {
 		routes[0]["timeoutMs"] = 800 + version
@@ -75,6 +76,7 @@
 		}
 		sleep(ctx, stormGap/2)
 		if version == movedVersion-1 && trouble {
+			killed = time.Now()
 			killAll(readers)
 		}
 		sleep(ctx, stormGap/2)
@@ -93,8 +95,8 @@
 			})
 		})
 	}
-	sleep(ctx, time.Until(confirmed.Add(killLength)))
 	if trouble {
+		sleep(ctx, time.Until(killed.Add(killLength)))
 		for _, g := range readers {
 			if err := g.start(); err != nil {
 				return nil, err
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -15,8 +15,7 @@
 const (
 	// Doses of srv_grey: share 0.14 of the servers fail 0.45 (greyShare) of their
 	// requests for 6.5 s.
-	greyServers    = 7 // of which one is grey
-	greyLength     = 6500 * time.Millisecond
+	greyServers    = 7                     // of which one is grey
 	filingRate     = 50 * time.Millisecond // between two filings
 	filingDeadline = 1500 * time.Millisecond
 )
@@ -46,11 +45,17 @@
 	return int(float64(f.count)*greyShare) > int(float64(f.count-1)*greyShare)
 }
 
+func (f *register) setGrey(grey bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.grey = grey
+}
+
 // playRefused: a server runs a filing and then fails, with status 503, its stamp and
 // without X-Not-Executed.
 func playRefused(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	f := &register{runs: make(map[string]run), filings: make(map[string][]run)}
-	routes := []map[string]any{route("filing", "/filing/", "unsafe", "registry", 800, 300, 1)}
+	routes := []map[string]any{route("filing", "/filing/", "unsafe", "registry", 800, 1)}
 	if err := w.configure(1, routes, []map[string]any{service("registry", 0)}); err != nil {
 		return nil, err
 	}
@@ -79,9 +84,8 @@
 	if trouble {
 		w.record("server i-0 begins to fail %.2f of its requests", greyShare)
 	}
-	f.mu.Lock()
-	f.grey = trouble
-	f.mu.Unlock()
+	f.setGrey(trouble)
+	time.AfterFunc(greyLength, func() { f.setGrey(false) })
 	c := newClients(w)
 	c.stream(ctx, filingRate, greyLength, func() { fileOnce(ctx, c, w, c.newID("filing")) })
 	c.wait.Wait()
