--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -53,12 +53,12 @@
 	return fmt.Sprintf("%s-%04d", prefix, c.next)
 }
 
-// send sends one attempt and waits for the end of its answer.
-func (c *clients) send(ctx context.Context, g *gateway, method, path, id string, deadline time.Duration, body string) answer {
+// send sends one attempt with the method POST and waits for the end of its answer.
+func (c *clients) send(ctx context.Context, g *gateway, path, id string, deadline time.Duration, body string) answer {
 	a := answer{request: id, gateway: g.name(), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.front()+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.front()+path, strings.NewReader(body))
 	if err != nil {
 		return a
 	}
@@ -72,7 +72,7 @@
 		_ = response.Body.Close()
 		a.status, a.stamp, a.body, a.complete = response.StatusCode, response.Header.Get("X-Response-Stamp"), string(text), readErr == nil
 	}
-	c.world.record("client: %s %s %s to %s, sent %.3f: status %d, stamp %q, complete %v, %d bytes", id, method, path, a.gateway,
+	c.world.record("client: %s POST %s to %s, sent %.3f: status %d, stamp %q, complete %v, %d bytes", id, path, a.gateway,
 		a.sent.Sub(c.world.started).Seconds(), a.status, a.stamp, a.complete, len(a.body))
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -79,7 +79,7 @@
 // that has started again is cold.
 func playCold(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	routes := []map[string]any{route("filing", "/filing/", "unsafe", "cold", 800, 1)}
-	if err := w.configure(1, routes, []map[string]any{service("cold", coldPerS)}); err != nil {
+	if err := w.configure(routes, []map[string]any{service("cold", coldPerS)}); err != nil {
 		return nil, err
 	}
 	var arrived arrivals
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := w.addGateways(2); err != nil {
+	if err := w.addGateways(); err != nil {
 		return nil, err
 	}
 	if !sleep(ctx, stableWindow+time.Second) {
@@ -110,7 +110,7 @@
 		c.wait.Go(func() {
 			c.stream(ctx, coldRate, coldLength, func() {
 				id := c.newID("f")
-				c.send(ctx, g, http.MethodPost, "/filing/"+id, id, filingDeadline, "transcript")
+				c.send(ctx, g, "/filing/"+id, id, filingDeadline, "transcript")
 			})
 		})
 	}
@@ -166,3 +166,12 @@
 	}
 	return nil
 }
+
+// killAll kills gateways at the same moment.
+func killAll(gateways []*gateway) {
+	var killed sync.WaitGroup
+	for _, g := range gateways {
+		killed.Go(g.kill)
+	}
+	killed.Wait()
+}
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -21,13 +21,13 @@
 	}
 }
 
-// configure writes a configuration.
-func (w *world) configure(version int, routes, services []map[string]any) error {
+// configure writes the first configuration.
+func (w *world) configure(routes, services []map[string]any) error {
 	err := w.put("op/config", map[string]any{
-		"version": version, "routes": routes, "services": services,
+		"version": 1, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{"name": "tenant", "apiKeys": []string{clientKey}, "priority": 1}},
 	})
-	w.record("operator: version %d of the configuration is confirmed", version)
+	w.record("operator: the configuration is confirmed")
 	return err
 }
--- a/review/standin/continued.go
+++ b/review/standin/continued.go
@@ -45,7 +45,7 @@
 // some of the requests that continue them, with a status of 404 and its stamp.
 func playContinued(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	routes := []map[string]any{route("draft", "/draft/", "streaming", "engine", 10000, 2)}
-	if err := w.configure(1, routes, []map[string]any{service("engine", 0)}); err != nil {
+	if err := w.configure(routes, []map[string]any{service("engine", 0)}); err != nil {
 		return nil, err
 	}
 	var grey atomic.Bool
@@ -71,7 +71,7 @@
 			return nil, err
 		}
 	}
-	if err := w.addGateways(2); err != nil {
+	if err := w.addGateways(); err != nil {
 		return nil, err
 	}
 	if !sleep(ctx, stableWindow+time.Second) {
@@ -85,7 +85,7 @@
 	c.stream(ctx, streamRate, crashes*crashInterval, func() {
 		id := c.newID("s")
 		g := w.gateways[rand.IntN(len(w.gateways))]
-		c.send(ctx, g, http.MethodPost, "/draft/"+id, id, streamDeadline, "prompt")
+		c.send(ctx, g, "/draft/"+id, id, streamDeadline, "prompt")
 	})
 	c.wait.Wait()
 	if err := <-crashed; err != nil {
--- a/review/standin/oddentry.go
+++ b/review/standin/oddentry.go
@@ -25,7 +25,7 @@
 // entry with missing fields under its key.
 func playOddEntry(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	routes := []map[string]any{route("filing", "/filing/", "unsafe", "registry", 800, 1)}
-	if err := w.configure(1, routes, []map[string]any{service("registry", 0)}); err != nil {
+	if err := w.configure(routes, []map[string]any{service("registry", 0)}); err != nil {
 		return nil, err
 	}
 	var mu sync.Mutex
@@ -46,7 +46,7 @@
 			return nil, err
 		}
 	}
-	if err := w.addGateways(2); err != nil {
+	if err := w.addGateways(); err != nil {
 		return nil, err
 	}
 	if !sleep(ctx, stableWindow+time.Second) {
@@ -63,7 +63,7 @@
 		c.wait.Go(func() {
 			c.stream(ctx, orderRate, oddLength, func() {
 				id := c.newID("f")
-				c.send(ctx, g, http.MethodPost, "/filing/"+id, id, filingDeadline, "transcript")
+				c.send(ctx, g, "/filing/"+id, id, filingDeadline, "transcript")
 			})
 		})
 	}
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -56,7 +56,7 @@
 func playRefused(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	f := &register{runs: make(map[string]run), filings: make(map[string][]run)}
 	routes := []map[string]any{route("filing", "/filing/", "unsafe", "registry", 800, 1)}
-	if err := w.configure(1, routes, []map[string]any{service("registry", 0)}); err != nil {
+	if err := w.configure(routes, []map[string]any{service("registry", 0)}); err != nil {
 		return nil, err
 	}
 	for i := range greyServers {
@@ -75,7 +75,7 @@
 			return nil, err
 		}
 	}
-	if err := w.addGateways(2); err != nil {
+	if err := w.addGateways(); err != nil {
 		return nil, err
 	}
 	if !sleep(ctx, stableWindow+time.Second) {
@@ -99,7 +99,7 @@
 	for attempt := range 2 {
 		left := filingDeadline - time.Since(started)
 		g := w.gateways[attempt%len(w.gateways)]
-		a := c.send(ctx, g, http.MethodPost, "/filing/"+filing, c.newID("a"), left, "transcript")
+		a := c.send(ctx, g, "/filing/"+filing, c.newID("a"), left, "transcript")
 		if !promisesNotRun(a.status) {
 			return
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -29,6 +29,8 @@
 	metricsPort   = 9464
 	// readyTimeout is how long a gateway may take to get ready.
 	readyTimeout = 10 * time.Second
+	// gateways is how many there are.
+	gateways = 2
 	// maxSeeds is how many gateways each gateway knows at its start.
 	maxSeeds = 3
 )
@@ -57,9 +59,8 @@
 	ip    string
 	store string // address of the store for this gateway
 
-	mu       sync.Mutex
-	command  *exec.Cmd // nil while it is down
-	lastCall time.Time // of the store
+	mu      sync.Mutex
+	command *exec.Cmd // nil while it is down
 }
 
 // newWorld returns a world without gateways and servers, at addresses that are free.
@@ -119,11 +120,11 @@
 	return nil
 }
 
-// addGateways adds gateways and starts them.
-func (w *world) addGateways(count int) error {
-	for i := range count {
+// addGateways adds the gateways and starts them.
+func (w *world) addGateways() error {
+	for i := range gateways {
 		g := &gateway{world: w, index: i, ip: fmt.Sprintf("%s.%d", w.host, 10+i)}
-		listener, err := w.serve(w.host+".1:0", g.storeHandler())
+		listener, err := w.serve(w.host+".1:0", w.store)
 		if err != nil {
 			return err
 		}
@@ -143,23 +144,6 @@
 	return nil
 }
 
-// storeHandler is the store as this gateway reaches it. It notes when it was called.
-func (g *gateway) storeHandler() http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		g.mu.Lock()
-		g.lastCall = time.Now()
-		g.mu.Unlock()
-		g.world.store.ServeHTTP(rw, r)
-	})
-}
-
-// calledSince reports whether the gateway has called the store since a time.
-func (g *gateway) calledSince(since time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.lastCall.After(since)
-}
-
 func (g *gateway) name() string { return fmt.Sprint("edge-", g.index) }
 
 func (g *gateway) front() string { return fmt.Sprintf("%s:%d", g.ip, frontPort) }
@@ -181,7 +165,7 @@
 		"limits": map[string]any{"cpuShare": 0.304, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"bounds": map[string]any{
 			"seedLagS": 3, "reuseAfterS": 2, "stableWindowMs": stableWindow.Milliseconds(), "ackMs": 4000, "catchUpS": 4,
-			"drainMs": drainBound.Milliseconds(), "graceS": 8, "lossSlackMs": 200, "configApplyMs": configBound.Milliseconds(),
+			"drainMs": drainBound.Milliseconds(), "graceS": 8, "lossSlackMs": 200, "configApplyMs": 2000,
 			"rollbackSlackMs": 250, "maxStretchMs": 5000, "strictRevoke": false, "revokeMs": 5000, "retryBudgetRatio": 0.2,
 			"budgetWindowS": 10, "budgetExtra": 102, "coldOvershoot": coldOvershoot, "coldSlack": coldSlack, "evacuateMs": 5000,
 			"recoveryS": 12, "passMs": 120, "retryAfterS": 0, "stall_ms": 1500, "maxHoldMs": 20000, "freeMs": 4000, "maxIdleMs": 9000,
@@ -196,7 +180,6 @@
 const (
 	stableWindow  = 3 * time.Second
 	drainBound    = 2 * time.Second
-	configBound   = 2 * time.Second
 	coldOvershoot = 1.5
 	coldSlack     = 5
 )
