Break a stream off instead of ending it with another target's failure

Cause: the answer to a request that continues a stream was relayed by its own status. From 500 on it counted as failed; any other status was written behind the events that the caller had, and its end became the end of the stream. The log of such a request says `Sent.` with outcome `done`, detail `404` and `begun` true. Ruled out: a failure that is kept from an earlier attempt, because a begun response is broken off before that is written.

A continuation must now have the status that the caller has, and the media type if both name one. Any other answer is a failed attempt: another target may continue, and otherwise the response is broken off and logged with the status. The body of the failure is not read.

Related paths: redirects, 1xx to 5xx, other statuses of success (204 ended the stream as complete), bodies with and without a length and without end, callers with HTTP/1.0, and failures before the first event, which are passed on as before. The product's own interface ends each stream with an event and a checksum and needs no change.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -45,6 +45,8 @@
 	lastDetail     string          // detail of the last attempt
 	failedResponse *storedResponse // of an earlier attempt
 	headWritten    bool            // status and headers have been written to the caller
+	writtenStatus  int             // the status that the caller has; 0 before headWritten
+	writtenType    string          // the media type that the caller has; empty for none
 	lastEventID    string          // ID of the last whole event that was written to the caller
 	lastEventAt    time.Time       // when it was received; zero before the first event
 	answerProven   bool            // the target of the current attempt lived on after its first event
@@ -230,6 +232,7 @@
 	d.lastDetail = attempted.detail
 	switch attempted.outcome {
 	case rtdelivery.Failed:
+		// nil if the caller's answer has begun. It is broken off then.
 		d.failedResponse = attempted.failedResponse
 	case rtdelivery.HelperRefused:
 		// The target itself is not at fault and may be selected again.
@@ -392,10 +395,7 @@
 		return result{outcome: rtdelivery.Lost, detail: "response has no stamp of the target, or is encoded"}
 	}
 	relay := &relay{delivery: d, target: placement.Target, response: response, inFlight: inFlight, watchdog: guard, lastEventAt: sent}
-	if d.request.route.Kind == rtcatalog.KindStream && response.Status < http.StatusMultipleChoices {
-		return relay.forwardEvents(ctx)
-	}
-	return relay.forwardWhole(ctx)
+	return relay.forward(ctx)
 }
 
 // unreservedOutcome returns the outcome of an attempt that got no memory for its
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -42,6 +44,47 @@
 	longestGap  time.Duration // between two events
 }
 
+// forward passes the answer on, if it can follow what the caller already has.
+func (r *relay) forward(ctx context.Context) result {
+	stream := r.delivery.request.route.Kind == rtcatalog.KindStream && r.response.Status < http.StatusMultipleChoices
+	switch reason := r.whyNoContinuation(); {
+	case reason != "":
+		return result{outcome: rtdelivery.Failed, detail: reason}
+	case stream:
+		return r.forwardEvents(ctx)
+	default:
+		return r.forwardWhole(ctx)
+	}
+}
+
+// whyNoContinuation returns why the answer cannot continue the one that the caller
+// has begun to read, or an empty string if it can or is the first one. The caller
+// would take a failure for the rest of the stream, and its end for the end of a
+// complete one.
+func (r *relay) whyNoContinuation() string {
+	d := r.delivery
+	if !d.headWritten {
+		return ""
+	}
+	if r.response.Status != d.writtenStatus {
+		return fmt.Sprintf("status %d cannot continue a response with status %d", r.response.Status, d.writtenStatus)
+	}
+	if got := mediaType(r.response.Header); got != "" && d.writtenType != "" && got != d.writtenType {
+		return fmt.Sprintf("media type %.80q cannot continue a response of type %q", got, d.writtenType)
+	}
+	return ""
+}
+
+// mediaType returns the media type of a response without its parameters, or an empty
+// string if there is none that can be parsed.
+func mediaType(header http.Header) string {
+	parsed, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return parsed
+}
+
 // forwardWhole passes on an answer that is not a stream. It does so after the
 // last byte has been received, so that a truncated answer never looks
 // complete.
@@ -148,6 +191,8 @@
 	}
 	q := r.delivery.request
 	r.delivery.headWritten = true
+	r.delivery.writtenStatus = r.response.Status
+	r.delivery.writtenType = mediaType(r.response.Header)
 	copyHeader(q.w.Header(), r.response.Header)
 	// Not all connections support deadlines. Without one, the deadline of the
 	// request ends the write.
