Count the failures that are kept from earlier attempts in the memory of bodies

Report of operators: a faulty server sends bytes in a body without end, and the process that keeps them runs out of memory. Endless heads, bodies, events and replies are limited (TestEndlessHead, TestEndlessBody, TestEndlessBodies). One way was open: a failure of up to 16 MiB is kept while another target is tried, and the budget for bodies got its memory back before that. Any number of requests could hold one.

The memory now stays in the budget until the request has ended.

--- a/internal/rtexchange/budget.go
+++ b/internal/rtexchange/budget.go
@@ -20,7 +20,8 @@
 var errNoBudget = errors.New("responses use more memory than allowed")
 
 // Budget limits the memory of all bodies and events that are read with it. A body
-// counts until its response is closed, and so does the largest event of a stream.
+// counts until its response is closed, or longer if KeepMemory says so, and so does the
+// largest event of a stream.
 type Budget struct {
 	limit int64 // in bytes
 	used  atomic.Int64
@@ -78,6 +79,19 @@
 	return nil
 }
 
+// KeepMemory leaves the memory of the body in the budget when the response is closed,
+// for a caller that keeps the body. The caller calls the returned function when it no
+// longer does.
+func (r *Response) KeepMemory() (release func()) {
+	budget, kept := r.budget, r.reserved
+	r.reserved = 0
+	return func() {
+		if budget != nil {
+			budget.used.Add(-kept)
+		}
+	}
+}
+
 // release returns all memory to the budget.
 func (r *Response) release() {
 	if r.budget != nil {
--- a/internal/rtgateway/bodies_test.go
+++ b/internal/rtgateway/bodies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -98,3 +99,48 @@
 		b.t.Errorf("held %d MiB of %d answers without end, want at most %d MiB", counter.peak>>20, endless, bound>>20)
 	}
 }
+
+// Guards against long failures that are kept while other targets are tried, and that
+// together fill the memory of the gateway.
+func TestKeptFailures(t *testing.T) {
+	const requests, size = 32, 8 << 20
+	withTestbed(t, 24, func(b *testbed) {
+		body := strings.Repeat("x", size)
+		var attempts sync.Map // by request
+		for _, target := range b.targets {
+			target.set(func(c net.Conn, r *run) {
+				if _, later := attempts.LoadOrStore(r.request.Header.Get("Id"), true); later {
+					neverAnswer(c, r)
+					return
+				}
+				answerWith(http.StatusInternalServerError, "", body)(c, r)
+			})
+		}
+		var calls []*rttask.Task
+		for i := range requests {
+			calls = append(calls, rttask.Start(b.t.Context(), "call", func(context.Context) error {
+				b.call(http.MethodPost, "/safe/x", headers(fmt.Sprint("id-", i)), "body")
+				return nil
+			}))
+		}
+		time.Sleep(5 * time.Second) // all wait for the second target
+		kept := 0
+		for _, line := range b.logged("Sent.") {
+			if strings.Contains(line, `"outcome"="failed"`) {
+				kept += size
+			}
+		}
+		if kept > maxResponseMemory || kept == 0 {
+			t.Errorf("keeps failures of %d MiB, want some and at most %d MiB", kept>>20, maxResponseMemory>>20)
+		}
+		for _, task := range calls {
+			if err := <-task.Done(); err != nil {
+				t.Error(err)
+			}
+		}
+		// All memory has been returned.
+		if got := b.call(http.MethodPost, "/order/x", headers("last"), "body"); got.status != http.StatusInternalServerError || len(got.body) != size {
+			t.Errorf("got status %d and %d bytes after the other requests, want the failure of the target", got.status, len(got.body))
+		}
+	})
+}
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -26,9 +26,10 @@
 // storedResponse is a whole response of a target. A failed one is passed to
 // the caller if no other target does better.
 type storedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	body    []byte
+	release func() // returns the memory of the body to its budget; nil if that is done by others
 }
 
 // delivery is the state of a request from its first attempt to its end.
@@ -102,6 +103,7 @@
 func (d *delivery) run(ctx context.Context) *refusal {
 	d.gateway.countRequest(d.request.service.Name)
 	defer d.dropSuccessor()
+	defer d.dropFailedResponse()
 	switch reason := d.attempts.Run(ctx, d); reason {
 	case rtdelivery.Answered:
 		return nil
@@ -233,6 +235,7 @@
 	switch attempted.outcome {
 	case rtdelivery.Failed:
 		if attempted.failedResponse != nil {
+			d.dropFailedResponse()
 			d.failedResponse = attempted.failedResponse
 		}
 	case rtdelivery.HelperRefused:
@@ -242,6 +245,14 @@
 	return attempted.outcome
 }
 
+// dropFailedResponse drops the response that is kept from a failed attempt, if any.
+func (d *delivery) dropFailedResponse() {
+	if d.failedResponse != nil {
+		d.failedResponse.release()
+		d.failedResponse = nil
+	}
+}
+
 // TakeRetry takes one retry from the retry budget of the service, unless the
 // watchdog has taken it.
 func (d *delivery) TakeRetry(after rtdelivery.AttemptOutcome) bool {
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -100,6 +100,7 @@
 	}
 	response := &storedResponse{status: r.response.Status, header: r.response.Header, body: body}
 	if r.response.Status >= http.StatusInternalServerError {
+		response.release = r.response.KeepMemory()
 		return result{outcome: rtdelivery.Failed, detail: strconv.Itoa(r.response.Status), failedResponse: response}
 	}
 	r.proveParts()
