Tell the Go runtime how much memory the VM has

Report of operators: bytes without end, in a head or a body, fill the memory of the machine that reads them, and the requests of other clients end with it. Each answer is limited, but the process as a whole was not: the runtime lets its heap grow to twice what is in use, whatever the VM has.

`limits.memoryMb` of the settings is checked and read; 0.7 of it is the soft limit of the runtime.

--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -24,6 +25,11 @@
 	"github.com/rhubarbtally/rhubarbtally/platform"
 )
 
+// memoryShare is the part of the memory of the VM that the Go runtime tries not to
+// exceed. The rest is for what it does not count: the program itself, the C library
+// and data that connections have received and nobody has read yet.
+const memoryShare = 0.7
+
 // settingsInterval is the interval at which the settings file is reread, because
 // it may change without a SIGHUP.
 const settingsInterval = 5 * time.Second
@@ -60,6 +66,9 @@
 }
 
 func newGatewayProcess(path string, settings platform.Settings, sighups <-chan os.Signal, log logr.Logger, metrics *rtmetric.Metrics) *gatewayProcess {
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
+	}
 	network := &rtnet.TCP{}
 	process := &gatewayProcess{path: path, settings: settings, sighups: sighups, log: log, metrics: metrics}
 	process.feed = rtfeed.New(platform.NewStore(network, settings.StoreAddress), platform.NewItems(log), log)
@@ -98,7 +107,7 @@
 // Run serves until the context ends. The feed and the peer group run until the
 // last request has ended.
 func (p *gatewayProcess) Run(ctx context.Context) error {
-	p.log.Info("Starting.", "vm", p.settings.Gateway.VM, "zone", p.settings.Gateway.Zone, "store", p.settings.StoreAddress)
+	p.log.Info("Starting.", "vm", p.settings.Gateway.VM, "zone", p.settings.Gateway.Zone, "store", p.settings.StoreAddress, "memory", p.settings.Memory)
 	background := context.WithoutCancel(ctx)
 	feed := rttask.Start(background, "feed", p.feed.Run)
 	group := rttask.Start(background, "peers", p.group.Run)
