Refuse requests late in a planned stop, and answer those in flight at its end

Report of operators: requests that came late in the grace period were passed on and cut at its end with no answer, also ones that may not be repeated (LOST). It could happen here: with a body that arrives slowly up to 0.1 s before the end, and with any request of the first 3 s that takes longer than what is left. Connections opened just before the listener closed were closed on their first request.

Cause: the end of the grace period closed all connections, and contexts ended as if the callers had left. Requests were passed on whatever time was left.

From 3 s after the start of a stop, new requests are refused as not run. Those in flight end 0.6 s before the kill, with 502 if nothing has been written. The stop waits for connections with a request instead of using Server.Shutdown, which drops a request that it has just read.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -271,7 +271,7 @@
 // if the request must not wait any longer, with the refusal to write, if any.
 func (d *delivery) waitForRoom(ctx context.Context) (*refusal, bool) {
 	if d.gateway.drainingSince.Load() != nil && !d.headWritten {
-		return d.giveUp("leaving"), true
+		return d.giveUp(reasonLeaving), true
 	}
 	timer := time.NewTimer(admitInterval)
 	defer timer.Stop()
@@ -280,7 +280,10 @@
 		return nil, false
 	case <-ctx.Done():
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(context.Cause(ctx), errGraceOver):
+		return d.giveUp(reasonLeaving), true
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return d.giveUp("no room in time"), true
 	}
 	d.gateway.log.Info("Caller disconnected while its request waited for a target.", "request", d.request.info.ID)
@@ -431,6 +434,8 @@
 	case errors.Is(context.Cause(ctx), errSilent):
 		d.gateway.startCooldown(target.ID, "silent")
 		return result{outcome: rtdelivery.Lost, detail: errSilent.Error()}
+	case errors.Is(context.Cause(ctx), errGraceOver):
+		return result{outcome: rtdelivery.Lost, detail: errGraceOver.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return result{outcome: rtdelivery.Expired, detail: "deadline exceeded"}
 	case ctx.Err() != nil:
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -92,8 +92,13 @@
 	peers         Peers
 	onNews        func()
 	drainingSince atomic.Pointer[time.Time] // start of the graceful shutdown; nil before it
+	refusingFrom  atomic.Pointer[time.Time] // when it refuses new requests; nil before drainingSince
 	started       time.Time
 
+	activeConnections atomic.Int64    // of callers, on which a request is read or served
+	grace             context.Context // ends with the grace period of a planned stop
+	endGrace          context.CancelCauseFunc
+
 	background background
 	bodies     *rtexchange.Budget // memory of long responses and events
 
@@ -120,7 +125,10 @@
 
 // New returns a gateway that has not started.
 func New(settings Settings, dependencies Dependencies) *Gateway {
+	grace, endGrace := context.WithCancelCause(context.Background())
 	return &Gateway{
+		grace:        grace,
+		endGrace:     endGrace,
 		settings:     settings,
 		network:      dependencies.Network,
 		log:          dependencies.Log.WithName("gateway"),
@@ -187,7 +195,9 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, leave := g.withinGrace(r.Context())
+	defer leave()
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	if refused := newDelivery(g, q).run(ctx); refused != nil {
 		g.refuse(q, refused)
--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -23,23 +23,11 @@
 	// maxHeader limits headers in bytes before the limit of the configuration is
 	// checked.
 	maxHeader = 1 << 20
-	// listenerDelay is the time from the end of readiness to the close of the
-	// listener. The load balancer probes once a second and removes a process
-	// after two failed probes.
-	listenerDelay = 3 * time.Second
-	// balancerRemovalTime is how long after the end of readiness the load
-	// balancer still sends new connections here: two failed probes, and 0.2 s to
-	// apply the result.
-	balancerRemovalTime = 2200 * time.Millisecond
-	// exitMargin is the part of the grace period that is kept for the exit of
-	// the process after its last request.
-	exitMargin   = 400 * time.Millisecond
-	defaultGrace = 8 * time.Second
 )
 
 // Run serves until the context ends, then shuts down gracefully: readiness
 // ends at once, connections that the load balancer still sends here are
-// served, and in-flight requests may finish within the grace period.
+// served, and in-flight requests may finish within the grace period (see drain).
 func (g *Gateway) Run(ctx context.Context) error {
 	callerListener, err := g.network.Listen(g.settings.Callers)
 	if err != nil {
@@ -54,7 +42,7 @@
 		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeader,
-		ConnState:         markIdle,
+		ConnState:         g.trackConnection,
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, connection)
 		},
@@ -75,54 +63,17 @@
 	case err := <-tasks[1].Done():
 		return fmt.Errorf("readiness listener: %w", err)
 	}
-	err = g.drain(serveCtx, callerServer)
+	err = g.drain(callerListener, callerServer)
 	_ = readinessServer.Close()
 	for _, task := range tasks {
-		if taskErr := task.Stop(); !errors.Is(taskErr, http.ErrServerClosed) {
+		// drain closes the listener of callers before their server.
+		if taskErr := task.Stop(); !errors.Is(taskErr, http.ErrServerClosed) && !errors.Is(taskErr, net.ErrClosed) {
 			err = errors.Join(err, taskErr)
 		}
 	}
 	return errors.Join(err, g.background.stop())
 }
 
-// drain ends readiness, closes the listener after listenerDelay and waits for
-// in-flight requests. At the end of the grace period it closes their
-// connections.
-func (g *Gateway) drain(ctx context.Context, callerServer *http.Server) error {
-	g.mu.Lock()
-	grace := g.bounds.Grace
-	g.mu.Unlock()
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	started := time.Now()
-	g.drainingSince.Store(&started)
-	g.log.Info("Stopping.", "grace", grace.String())
-	timer := time.NewTimer(listenerDelay)
-	defer timer.Stop()
-	<-timer.C
-	ctx, cancel := context.WithDeadline(ctx, started.Add(grace-exitMargin))
-	defer cancel()
-	err := callerServer.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		g.log.Info("Grace period over with requests in flight; closing their connections.")
-		err = callerServer.Close()
-	}
-	g.log.Info("Stopped.", "took", time.Since(started).String())
-	return err
-}
-
-// retryAfter returns the retry delay of a refused caller. While this process
-// drains, the delay lasts until the load balancer sends no more connections
-// here: a caller that retries at a draining process is refused again and then
-// gives up.
-func (g *Gateway) retryAfter(delay time.Duration) time.Duration {
-	if drainingSince := g.drainingSince.Load(); drainingSince != nil {
-		return max(delay, balancerRemovalTime-time.Since(*drainingSince))
-	}
-	return delay
-}
-
 // serveReadiness answers the probes of the load balancer.
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
@@ -158,8 +109,9 @@
 // idleConn sets the read deadline of an idle connection from the limit.
 type idleConn struct {
 	net.Conn
-	limit func() time.Duration
-	idle  atomic.Bool
+	limit  func() time.Duration
+	idle   atomic.Bool
+	active atomic.Bool // a request is read or served
 
 	mu sync.Mutex
 }
@@ -208,13 +160,20 @@
 	return func() { c.setLinger(-1) }
 }
 
-// markIdle records whether a connection is idle.
-func markIdle(connection net.Conn, state http.ConnState) {
+// trackConnection records whether a connection is idle, and counts those that are
+// active.
+func (g *Gateway) trackConnection(connection net.Conn, state http.ConnState) {
 	c, ok := connection.(*idleConn)
 	if !ok {
 		return
 	}
 	c.idle.Store(state == http.StateIdle)
+	active := state == http.StateActive
+	if was := c.active.Swap(active); active && !was {
+		g.activeConnections.Add(1)
+	} else if was && !active {
+		g.activeConnections.Add(-1)
+	}
 	if state == http.StateActive {
 		// http.Server clears the deadline for the headers before it reports this
 		// state, so the idle limit may still be set. If the connection has failed,
--- a/internal/rtgateway/stages.go
+++ b/internal/rtgateway/stages.go
@@ -16,6 +16,7 @@
 	(*Gateway).checkBodySize,
 	(*Gateway).prepareWork,
 	(*Gateway).readBody,
+	(*Gateway).refuseLate, // last, because a body may take long to arrive
 }
 
 const (
