Break off a continuation that repeats events

The IDs of events increase, so an event of a continuation whose ID is not greater than the last one that was passed on makes the attempt fail. IDs that are not numbers must differ from the last one. First answers are passed on as their target made them.

--- a/internal/rtgateway/brokenstream_test.go
+++ b/internal/rtgateway/brokenstream_test.go
@@ -169,3 +169,52 @@
 		}
 	})
 }
+
+// Guards against events that come twice because a target answers the request to
+// continue a stream with the whole stream, or with events that do not follow.
+func TestContinuationRepeatsEvents(t *testing.T) {
+	tests := []struct {
+		name  string
+		first func(last int) int // first event of the continuation
+	}{
+		{"whole stream", func(int) int { return 1 }},
+		{"last event again", func(last int) int { return last }},
+	}
+	for _, test := range tests {
+		for wholeEvents := 1; wholeEvents < events; wholeEvents++ {
+			for _, attempts := range []int{2, 3} {
+				t.Run(fmt.Sprint(test.name, " after ", wholeEvents, ", ", attempts, " attempts"), func(t *testing.T) {
+					withTestbed(t, attempts, func(b *testbed) {
+						b.publishAttempts(attempts)
+						again := func(c net.Conn, r *run) {
+							_, _ = io.WriteString(c, r.responseHead(200, chunked)+chunk(eventsAfter(test.first(r.lastEvent())-1))+lastChunk)
+						}
+						b.inOrder(breakAfter(wholeEvents, "", closeConnection), again, answerOK)
+						got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+						if !strings.HasPrefix(allEvents(), got.body) || (got.err == nil) != (attempts == 3) {
+							t.Errorf("got body %q, error %v; want the stream, whole after %d attempts only", got.body, got.err, attempts)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against events without a number that end a stream, and against numbers that
+// are compared as texts.
+func TestFollowsEvent(t *testing.T) {
+	tests := []struct {
+		last, next string
+		want       bool
+	}{
+		{"", "1", true}, {"1", "2", true}, {"9", "10", true}, {"1", "7", true}, {"a", "b", true}, {"b", "a", true}, {"9", "x", true},
+		{"2", "2", false}, {"10", "9", false}, {"a", "a", false}, {"02", "2", false},
+		{"18446744073709551616", "18446744073709551615", true}, // out of range, so not numbers
+	}
+	for _, test := range tests {
+		if got := followsEvent(test.last, test.next); got != test.want {
+			t.Errorf("event %q after %q: got %v, want %v", test.next, test.last, got, test.want)
+		}
+	}
+}
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -128,6 +128,7 @@
 // relayEvents is forwardEvents without the times in the result.
 func (r *relay) relayEvents(ctx context.Context) result {
 	d := r.delivery
+	continuation := d.headWritten
 	control := http.NewResponseController(d.request.w)
 	for {
 		event, err := r.response.NextEvent(d.gateway.bodies)
@@ -140,6 +141,9 @@
 		if err != nil {
 			return d.exchangeFailed(ctx, r.target, err)
 		}
+		if continuation && event.ID != "" && !followsEvent(d.lastEventID, event.ID) {
+			return result{outcome: rtdelivery.Failed, detail: fmt.Sprintf("event %.40q does not follow event %q", event.ID, d.lastEventID)}
+		}
 		if !event.Comment {
 			r.watchdog.reset()
 			r.recordEvent(time.Now())
@@ -215,3 +219,14 @@
 		to[name] = values
 	}
 }
+
+// followsEvent reports whether an event may follow the last one that the caller has.
+// IDs that are numbers increase; of others only the same one is known not to follow.
+func followsEvent(last, next string) bool {
+	before, err := strconv.ParseUint(last, 10, 64)
+	after, nextErr := strconv.ParseUint(next, 10, 64)
+	if err != nil || nextErr != nil {
+		return last == "" || next != last
+	}
+	return after > before
+}
