Use no server by an entry that lacks fields or takes back its drain

An entry of another writer, without version, coldLeftMs, sequence and born, had brought it back.

Cause: five of the eight fields that each entry has were asked for, and each entry was judged by itself, so that one without a start counted as another start.

All eight fields must be there with their types. An entry that is passed over is logged with what stays known, and counted.

Related paths: first full read, changes, states of peers, a return of the store, a deletion right after the odd entry.

--- a/internal/rtpeer/malformed_test.go
+++ b/internal/rtpeer/malformed_test.go
@@ -256,7 +256,7 @@
 	}
 	delta := rtfeed.Delta{Revision: at, Full: true, Changes: []rtfeed.Change{
 		item("op/config", fmt.Sprintf(`{"version":%d,"services":[{"name":"s"}]}`, version)),
-		item("servers/t", fmt.Sprintf(`{"service":"s","address":"10.1.0.1:80","zone":"a","slots":4,"state":%q,"born":1}`, state)),
+		item("servers/t", fmt.Sprintf(`{"service":"s","address":"10.1.0.1:80","zone":"a","version":"v1","slots":4,"state":%q,"coldLeftMs":0,"sequence":1,"born":1}`, state)),
 	}}
 	data, err := json.Marshal(delta)
 	if err != nil {
--- a/internal/rtpeer/restore_test.go
+++ b/internal/rtpeer/restore_test.go
@@ -203,7 +203,7 @@
 	if t.draining {
 		state = "draining"
 	}
-	return fmt.Appendf(nil, `{"service":"s","address":"10.7.0.%s:80","zone":"a","slots":4,"state":%q,"born":%d}`, id[1:], state, t.born)
+	return fmt.Appendf(nil, `{"service":"s","address":"10.7.0.%s:80","zone":"a","version":"v1","slots":4,"state":%q,"coldLeftMs":0,"sequence":1,"born":%d}`, id[1:], state, t.born)
 }
 
 // change makes one random change at the store.
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -71,7 +71,9 @@
 	}
 	network := &rtnet.TCP{}
 	process := &gatewayProcess{path: path, settings: settings, sighups: sighups, log: log, metrics: metrics}
-	process.feed = rtfeed.New(platform.NewStore(network, settings.StoreAddress), platform.NewItems(log), log)
+	items := platform.NewItems(log)
+	items.SetScope(metrics.Scope)
+	process.feed = rtfeed.New(platform.NewStore(network, settings.StoreAddress), items, log)
 	process.feed.SetScope(metrics.Scope)
 	peers := &deferredGroup{}
 	process.gateway = rtgateway.New(settings.Gateway, rtgateway.Dependencies{
