Limit what a gateway sends to a cold target in its first second

Cause: the requests of the last second are counted in the memory of the process, so a successor used its whole part once more. The parts add up to 0.8 of what is allowed.

--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -18,6 +18,11 @@
 	// coldRateShare is the part of the rate limit of a cold target that all
 	// processes together use.
 	coldRateShare = 0.8
+	// coldWindow is the span in which the requests to a cold target count.
+	coldWindow = time.Second
+	// restartsInWindow is how often a process may start within coldWindow while all
+	// processes together keep the limit.
+	restartsInWindow = 2
 	// announcedPart is the prefill time from which peers should know of a part
 	// before their next placement: longer than one pass without prefill.
 	announcedPart = 60 * time.Millisecond
@@ -187,7 +192,10 @@
 
 // withinColdRate reports whether one more request is within this process's
 // part of the rate limit of a cold target. The limit applies to every target,
-// because a warm one may become cold at any moment. The caller holds mu.
+// because a warm one may become cold at any moment. A process that has just started
+// limits itself further at targets that say that they are cold; doing so at all
+// targets would leave callers without service after a loss of all processes. The
+// caller holds mu.
 func (g *Gateway) withinColdRate(service *rtcatalog.Service, instance *rtcatalog.Instance, now time.Time) bool {
 	if service.ColdRate <= 0 {
 		return true
@@ -196,9 +204,8 @@
 	if factor <= 0 {
 		factor = 1 // not published
 	}
-	allowed := service.ColdRate*factor + g.bounds.ColdSlack
-	limit := max(int(coldRateShare*allowed), min(1, int(allowed)))
-	sent := g.recentSendsOf(instance.ID).CountWithin(time.Second, now)
+	limit := coldLimit(service.ColdRate*factor+g.bounds.ColdSlack, instance.ColdRemaining > 0 && now.Sub(g.started) < coldWindow)
+	sent := g.recentSendsOf(instance.ID).CountWithin(coldWindow, now)
 	processes := max(1, g.peers.BudgetProcesses())
 	if limit%processes == 0 || sent != limit/processes {
 		// The rank, which is costly, does not matter.
@@ -207,6 +214,19 @@
 	return sent < g.peers.BudgetShare("cold "+string(instance.ID)).Part(limit)
 }
 
+// coldLimit returns how many requests all processes together may send, within
+// coldWindow, to a target that may be cold. What is allowed is the bound. The
+// predecessor of a process that has just started may have used its whole part shortly
+// before, and nobody remembers what it did: until coldWindow has passed, such a process
+// uses a part of what the others leave.
+func coldLimit(allowed float64, justStarted bool) int {
+	limit := max(int(coldRateShare*allowed), min(1, int(allowed)))
+	if justStarted {
+		return (int(allowed) - limit) / restartsInWindow
+	}
+	return limit
+}
+
 // schedulerOf returns the scheduler of a service. The caller holds mu.
 func (g *Gateway) schedulerOf(service rtid.Service) *rtplacement.Scheduler {
 	scheduler := g.schedulers[service]
