Remember the removal of an entry that was kept

Cause, from the log of the feed: the process kept the entry of the draining target from before the second return. A full state of a peer lacked the entry, then the removal came. The kept entry was dropped first, so the removal found nothing to remember, and the copy of the third return brought the entry back. Which comes first, the full state or the watch, is decided by the order of goroutines.

The removal of a kept entry that the store lacks is now remembered like any other.

--- a/internal/rtfeed/feed.go
+++ b/internal/rtfeed/feed.go
@@ -485,8 +485,13 @@
 
 // follow applies a change in place of an item that was kept. The caller holds mu.
 func (f *Feed) follow(change Change, now time.Time) {
+	kept := f.kept[change.Key]
 	f.endKept(change.Key)
 	if change.Removed {
+		if kept.stored == nil && f.decoder.Kind(change.Key) == KindLeased {
+			// The store lacked the entry before, so there is none left for apply to remember.
+			f.removals[change.Key] = removal{last: kept.item, at: now}
+		}
 		f.apply(change, true, now)
 		return
 	}
