--- a/internal/rtgateway/coldrate_test.go
+++ b/internal/rtgateway/coldrate_test.go
@@ -141,63 +141,74 @@
 	}
 }
 
+// coldFleet is a number of gateways that send as much as they may to one cold target.
+type coldFleet struct {
+	processes int
+	coldRate  float64
+	factor    float64
+	slack     float64
+}
+
+// start returns gateways that have just started.
+func (f coldFleet) start() []*Gateway {
+	var gateways []*Gateway
+	for i := range f.processes {
+		gateways = append(gateways, New(Settings{Bounds: Bounds{ColdFactor: f.factor, ColdSlack: f.slack}}, Dependencies{
+			Log: logr.Discard(), Peers: rankedPeers{share: rtlimit.Share{Rank: i, Processes: f.processes}},
+		}))
+	}
+	return gateways
+}
+
+// play starts all gateways again at given times, and returns the times of the requests.
+func (f coldFleet) play(length time.Duration, restarts []time.Duration) []time.Duration {
+	const step = 10 * time.Millisecond
+	service := &rtcatalog.Service{Name: "work", ColdRate: f.coldRate}
+	target := &rtcatalog.Instance{ID: "t0", Service: "work", ColdRemaining: 10 * time.Second}
+	gateways := f.start()
+	time.Sleep(10 * time.Second)
+	var sends []time.Duration
+	for at := time.Duration(0); at < length; at += step {
+		if len(restarts) > 0 && at >= restarts[0] && len(sends) > 0 {
+			gateways, restarts = f.start(), restarts[1:]
+		}
+		for _, g := range gateways {
+			for g.withinColdRate(service, target, time.Now()) {
+				g.recentSendsOf(target.ID).Add(time.Now())
+				sends = append(sends, at)
+			}
+		}
+		time.Sleep(step)
+	}
+	return sends
+}
+
+// mostWithin returns the most of some times, in order, within a span.
+func mostWithin(span time.Duration, times []time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at-times[first] >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // Guards against gateways that start again, all at the same moment and up to twice within
 // a second, and use the rate of a cold target once more; and against ones that do not
 // use it again later.
 func TestColdRateAfterRestarts(t *testing.T) {
-	instance := &rtcatalog.Instance{ID: "t0", Service: "work", ColdRemaining: 10 * time.Second}
-	const step = 10 * time.Millisecond
-	tests := []struct {
-		gateways int
-		coldRate float64
-		factor   float64
-		slack    float64
-	}{{1, 1, 1, 0}, {2, 2, 1.5, 5}, {4, 36, 1.5, 5}, {29, 36, 1.5, 5}, {29, 8, 1.5, 5}, {68, 14, 1.5, 5}, {100, 2, 1, 0}}
-	for _, test := range tests {
+	const length, lastSecond = 4 * time.Second, 3 * time.Second
+	fleets := []coldFleet{{1, 1, 1, 0}, {2, 2, 1.5, 5}, {4, 36, 1.5, 5}, {29, 36, 1.5, 5}, {29, 8, 1.5, 5}, {68, 14, 1.5, 5}, {100, 2, 1, 0}}
+	for _, fleet := range fleets {
 		for _, restarts := range [][]time.Duration{{0}, {0, 100 * time.Millisecond}, {0, 990 * time.Millisecond}, {300 * time.Millisecond, 900 * time.Millisecond}} {
-			t.Run(fmt.Sprint(test, restarts), func(t *testing.T) {
+			t.Run(fmt.Sprint(fleet, restarts), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					service := &rtcatalog.Service{Name: "work", ColdRate: test.coldRate}
-					start := func() []*Gateway {
-						var gateways []*Gateway
-						for i := range test.gateways {
-							gateways = append(gateways, New(Settings{Bounds: Bounds{ColdFactor: test.factor, ColdSlack: test.slack}}, Dependencies{
-								Log: logr.Discard(), Peers: rankedPeers{share: rtlimit.Share{Rank: i, Processes: test.gateways}},
-							}))
-						}
-						return gateways
-					}
-					gateways := start()
-					time.Sleep(10 * time.Second)
-					var sends []time.Duration
-					for at := time.Duration(0); at < 4*time.Second; at += step {
-						if len(restarts) > 0 && at >= restarts[0] && len(sends) > 0 {
-							gateways, restarts = start(), restarts[1:]
-						}
-						for _, g := range gateways {
-							for g.withinColdRate(service, instance, time.Now()) {
-								g.recentSendsOf(instance.ID).Add(time.Now())
-								sends = append(sends, at)
-							}
-						}
-						time.Sleep(step)
-					}
-					allowed := test.coldRate*test.factor + test.slack
-					most, last := 0, 0
-					for i, from := range sends {
-						within := 0
-						for _, at := range sends[i:] {
-							if at-from < time.Second {
-								within++
-							}
-						}
-						most = max(most, within)
-						if from >= 3*time.Second {
-							last++
-						}
-					}
-					if float64(most) > allowed || last == 0 {
-						t.Errorf("%d requests within a second and %d in the last one, want at most %v, and some", most, last, allowed)
+					sends := fleet.play(length, restarts)
+					most, allowed := mostWithin(time.Second, sends), fleet.coldRate*fleet.factor+fleet.slack
+					if float64(most) > allowed || sends[len(sends)-1] < lastSecond {
+						t.Errorf("%d requests within a second and the last one after %v, want at most %v, and some after %v", most, sends[len(sends)-1], allowed, lastSecond)
 					}
 				})
 			})
