Compare each event of a stream with the one before it

Callers got events twice, or numbers that went back: a target that began a stream again for a caller which had continued it at another gateway, or one whose own answer had events out of order. Only a continuation within one response was compared with the last event.

Each event must now follow the one before it, in every attempt, and the first one must follow the event that the caller names on a route where streams may resume. Otherwise the attempt has failed: another target continues, or the response is broken off.

Ruled out: gaps. IDs increase, but nothing says that they have no gaps.

--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -132,7 +132,7 @@
 // events, so that another target can continue after the last of them.
 func (r *relay) forwardEvents(ctx context.Context) result {
 	d := r.delivery
-	continuation := d.headWritten
+	last := r.precedingEvent()
 	control := http.NewResponseController(d.request.w)
 	for {
 		event, err := r.response.NextEvent(d.gateway.bodies)
@@ -146,8 +146,8 @@
 		if err != nil {
 			return d.exchangeFailed(ctx, r.target, err)
 		}
-		if continuation && event.ID != "" && !followsEvent(d.lastEventID, event.ID) {
-			return result{outcome: rtdelivery.Failed, detail: fmt.Sprintf("event %.40q does not follow event %q", event.ID, d.lastEventID)}
+		if event.ID != "" && !followsEvent(last, event.ID) {
+			return result{outcome: rtdelivery.Failed, detail: fmt.Sprintf("event %.40q does not follow event %.40q", event.ID, last)}
 		}
 		if !event.Comment {
 			r.watchdog.reset()
@@ -160,7 +160,7 @@
 		}
 		r.events++
 		if event.ID != "" {
-			d.lastEventID = event.ID
+			last, d.lastEventID = event.ID, event.ID
 		}
 		if !r.response.EventBuffered() {
 			if err := control.Flush(); err != nil {
@@ -170,6 +170,18 @@
 	}
 }
 
+// precedingEvent returns the ID of the event that the first one of the answer must
+// follow, or an empty string for none: the last one of a stream that is continued, here
+// or by its caller. Callers cannot continue other streams, so an ID that they send with
+// those means nothing.
+func (r *relay) precedingEvent() string {
+	d := r.delivery
+	if !d.headWritten && !d.request.route.Repeatable() {
+		return ""
+	}
+	return d.lastEventID
+}
+
 // recordEvent measures the time to the first event and the longest gap.
 func (r *relay) recordEvent(now time.Time) {
 	gap := now.Sub(r.lastEventAt)
