End a stream at a line that is no field of an event

A faulty server wrote its whole answer twice.

A line of a stream is now empty, a comment, or a field whose name has letters, digits, hyphens and underscores. The status line of another response is none of these, so the attempt ends behind the last event, and another target is asked for the rest.

Six new cases of TestEvents, three of them red before.

--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -4,15 +4,23 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 )
 
 // maxEventSize limits one event of a stream, in bytes.
 const maxEventSize = 1 << 20
 
+// byteOrderMark may stand before the first line of a stream.
+const byteOrderMark = "\ufeff"
+
 // ErrTruncated means that a stream ended inside an event.
 var ErrTruncated = errors.New("stream ended inside an event")
 
+// errNotAnEvent means that a line of a stream is no field of an event. Bytes that follow a
+// response without a length, such as the head of another response, look like this.
+var errNotAnEvent = errors.New("line of a stream is no field of an event")
+
 // errEventTooLarge means that an event is larger than maxEventSize.
 var errEventTooLarge = errors.New("event of a stream is larger than 1 MiB")
 
@@ -55,9 +63,16 @@
 		}
 		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
 		lineStart = len(event.Bytes)
+		if !r.hasLine {
+			line = bytes.TrimPrefix(line, []byte(byteOrderMark))
+			r.hasLine = true
+		}
 		if len(line) == 0 && hasLine {
 			return event, nil
 		}
+		if !isField(line) {
+			return Event{}, fmt.Errorf("%w: %.40q", errNotAnEvent, line)
+		}
 		hasLine = hasLine || len(line) > 0
 		event.Comment = event.Comment && (len(line) == 0 || line[0] == ':')
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
@@ -66,6 +81,22 @@
 	}
 }
 
+// isField reports whether a line can be one of an event: empty, a comment, or a field
+// whose name has letters, digits, hyphens and underscores only.
+func isField(line []byte) bool {
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	if len(name) == 0 {
+		return len(line) == 0 || hasColon
+	}
+	for _, c := range name {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !letter && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // EventBuffered reports whether a complete event was received and not read, so
 // that NextEvent returns without waiting.
 func (r *Response) EventBuffered() bool {
--- a/internal/rtexchange/events_test.go
+++ b/internal/rtexchange/events_test.go
@@ -52,6 +52,12 @@
 		{"large event", long(maxEventSize-2) + "\n\n", io.EOF, []expected{{long(maxEventSize-2) + "\n\n", ""}}, io.EOF},
 		{"too large event", "id: 1\n\n" + long(maxEventSize-1) + "\n\n", io.EOF, []expected{{"id: 1\n\n", "1"}}, errEventTooLarge},
 		{"too large line", long(2 * maxEventSize), io.EOF, nil, errEventTooLarge},
+		{"fields of other names", "x-weight-versions: 7\nid: 1\nevent: a_B-9\nretry: 10\ndata\n\n", io.EOF, []expected{{"x-weight-versions: 7\nid: 1\nevent: a_B-9\nretry: 10\ndata\n\n", "1"}}, io.EOF},
+		{"byte order mark", "\ufeffid: 1\n\n", io.EOF, []expected{{"\ufeffid: 1\n\n", "1"}}, io.EOF},
+		{"any text in data", "data: HTTP/1.1 200 OK\n\n", io.EOF, []expected{{"data: HTTP/1.1 200 OK\n\n", ""}}, io.EOF},
+		{"another response", "id: 1\n\nHTTP/1.1 200 OK\r\nId: a\r\n\r\nid: 1\n\n", io.EOF, []expected{{"id: 1\n\n", "1"}}, errNotAnEvent},
+		{"bytes that are no text", "id: 1\n\n\x00\x01\xff\n\n", io.EOF, []expected{{"id: 1\n\n", "1"}}, errNotAnEvent},
+		{"name with spaces", "the model failed: x\n\n", io.EOF, nil, errNotAnEvent},
 		{"lines without end", strings.Repeat("data: x\n", maxEventSize), io.EOF, nil, errEventTooLarge},
 	}
 	for _, test := range tests {
--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -64,6 +64,7 @@
 	writeTask  *rttask.Task
 	budget     *Budget // of the body; nil for none
 	reserved   int64   // bytes taken from budget
+	hasLine    bool    // a line of a stream has been read
 }
 
 // Close closes the connection. If the response is not complete, the target sees
