Send the events of a failed attempt before the next one begins

Events are flushed unless another one has been received behind them. If that one is out of order or no event, the attempt failed, and its last events were held back until another target continued (0.5 s in the test).

--- a/internal/rtgateway/eventorder_test.go
+++ b/internal/rtgateway/eventorder_test.go
@@ -1,11 +1,14 @@
 package rtgateway
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against events that come twice for a caller that continues its stream at
@@ -76,3 +79,46 @@
 		}
 	}
 }
+
+// Guards against events that are held back while another target continues, because more
+// bytes of the failed attempt had been received behind them.
+func TestEventsBeforeFailureAreSent(t *testing.T) {
+	behind := []struct{ name, text string }{{"disordered event", event(1)}, {"no event", "HTTP/1.1 200 OK\r\n\r\n"}}
+	for _, test := range behind {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, 2, func(b *testbed) {
+				const wait = 500 * time.Millisecond
+				b.inOrder(writeText(func(r *run) string {
+					return r.responseHead(200, chunked) + chunk(event(1)+event(2)+test.text) + lastChunk
+				}), pauseAfter(2, wait))
+				client := &http.Client{Transport: &http.Transport{
+					DisableKeepAlives: true,
+					DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+						return b.network.Host("10.0.9.9").Dial(ctx, callers)
+					},
+				}}
+				request, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, "http://service.example/stream/x", http.NoBody)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for name, value := range headers("id-1") {
+					request.Header.Set(name, value)
+				}
+				sent := time.Now()
+				response, err := client.Do(request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = response.Body.Close() }()
+				first := make([]byte, len(event(1)+event(2)))
+				if _, err := io.ReadFull(response.Body, first); err != nil || time.Since(sent) >= wait {
+					t.Errorf("got the first events %q after %v, error %v; want them before the other target answers", first, time.Since(sent), err)
+				}
+				rest, err := io.ReadAll(response.Body)
+				if err != nil || string(first)+string(rest) != allEvents() {
+					t.Errorf("got %q and %q, error %v; want the whole stream", first, rest, err)
+				}
+			})
+		})
+	}
+}
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -131,9 +131,20 @@
 // forwardEvents passes events on as they are received. It writes only whole
 // events, so that another target can continue after the last of them.
 func (r *relay) forwardEvents(ctx context.Context) result {
+	control := http.NewResponseController(r.delivery.request.w)
+	ended := r.relayEvents(ctx, control)
+	if r.delivery.headWritten && ended.outcome != rtdelivery.Done {
+		// The caller must not wait for the next attempt to get the events of this one. An
+		// error shows in the next write.
+		_ = control.Flush()
+	}
+	return ended
+}
+
+// relayEvents is forwardEvents, but for the last flush.
+func (r *relay) relayEvents(ctx context.Context, control *http.ResponseController) result {
 	d := r.delivery
 	last := r.precedingEvent()
-	control := http.NewResponseController(d.request.w)
 	for {
 		event, err := r.response.NextEvent(d.gateway.bodies)
 		if errors.Is(err, io.EOF) {
