Do not take an answer for whole if its target ended with it

An answer may have neither a length nor chunks and end with its connection.

When such an answer ends, the gateway now connects to the target once. If that is refused, the attempt is lost: a resumable stream and a safe request go on at another target, other streams are broken off, and others get 502. That also holds for a target that was leaving: one that exits cuts what still runs.

Ruled out: the check that a crash of the same target has just had; it may be older than the end of this answer (TestUnframedAnswerSoonAfterAnother is red with it).

--- a/internal/rtgateway/crash.go
+++ b/internal/rtgateway/crash.go
@@ -31,11 +31,11 @@
 	maxCheckDials = 3
 )
 
-// targetCheck is a check whether a target has crashed.
+// targetCheck is a check whether a target refuses connections.
 type targetCheck struct {
 	started time.Time
-	done    chan struct{} // closed when crashed is set
-	crashed bool
+	done    chan struct{} // closed when refuses is set
+	refuses bool
 }
 
 // targetCrashed reports whether a target whose connection broke has crashed: it
@@ -46,28 +46,32 @@
 	if current := view.Instance(target.ID); current == nil || !view.Usable(current) {
 		return false
 	}
-	now := time.Now()
 	g.mu.Lock()
-	if g.leaves.Leaving(target.Incarnation()) {
-		g.mu.Unlock()
-		return false
-	}
+	leaving := g.leaves.Leaving(target.Incarnation())
+	g.mu.Unlock()
+	return !leaving && g.targetGone(ctx, target, time.Now().Add(-checkReuse))
+}
+
+// targetGone reports whether a target refuses new connections, by a check that has begun
+// at a time or later. It does so, too, if the target was about to leave.
+func (g *Gateway) targetGone(ctx context.Context, target *rtcatalog.Instance, since time.Time) bool {
+	g.mu.Lock()
 	check := g.checks[target.ID]
-	started := check == nil || now.Sub(check.started) >= checkReuse
-	if started {
-		check = &targetCheck{started: now, done: make(chan struct{})}
+	starts := check == nil || check.started.Before(since)
+	if starts {
+		check = &targetCheck{started: time.Now(), done: make(chan struct{})}
 		g.checks[target.ID] = check
 	}
 	g.mu.Unlock()
-	if started {
+	if starts {
 		// Others wait for the result, so it must not end with this request.
 		defer close(check.done)
-		check.crashed = g.refusesConnections(context.WithoutCancel(ctx), target.Address)
-		return check.crashed
+		check.refuses = g.refusesConnections(context.WithoutCancel(ctx), target.Address)
+		return check.refuses
 	}
 	select {
 	case <-check.done:
-		return check.crashed
+		return check.refuses
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -109,6 +109,9 @@
 	if err != nil {
 		return r.delivery.exchangeFailed(ctx, r.target, err)
 	}
+	if r.endedWithTarget(ctx) {
+		return r.delivery.exchangeFailed(ctx, r.target, errEndedWithTarget)
+	}
 	response := &storedResponse{status: r.response.Status, header: r.response.Header, body: body}
 	if r.response.Status >= http.StatusInternalServerError {
 		response.release = r.response.KeepMemory()
@@ -148,11 +151,7 @@
 	for {
 		event, err := r.response.NextEvent(d.gateway.bodies)
 		if errors.Is(err, io.EOF) {
-			r.proveParts()
-			r.recordAnswer()
-			r.startResponse()
-			r.countEnd()
-			return result{outcome: rtdelivery.Done, detail: "complete"}
+			return r.endOfStream(ctx)
 		}
 		if err != nil {
 			return d.exchangeFailed(ctx, r.target, err)
@@ -181,6 +180,28 @@
 	}
 }
 
+// errEndedWithTarget means that a target ended its answer as its process ended.
+var errEndedWithTarget = errors.New("response without a length ended with the process of its target")
+
+// endedWithTarget reports whether a response without a length has ended because the
+// process of its target did: the kernel then closes its connections in order, as at the
+// end of a whole response.
+func (r *relay) endedWithTarget(ctx context.Context) bool {
+	return r.response.Framing() == rtexchange.ByConnection && r.delivery.gateway.targetGone(ctx, r.target, time.Now())
+}
+
+// endOfStream ends a stream whose target has ended it between two events.
+func (r *relay) endOfStream(ctx context.Context) result {
+	if r.endedWithTarget(ctx) {
+		return r.delivery.exchangeFailed(ctx, r.target, errEndedWithTarget)
+	}
+	r.proveParts()
+	r.recordAnswer()
+	r.startResponse()
+	r.countEnd()
+	return result{outcome: rtdelivery.Done, detail: "complete"}
+}
+
 // precedingEvent returns the ID of the event that the first one of the answer must
 // follow, or an empty string for none: the last one of a stream that is continued, here
 // or by its caller. Callers cannot continue other streams, so an ID that they send with
