Ask another target for the rest of a stream that ends with its connection

A resumable stream without a length or chunks that its target closed in order between two events was passed on as complete: 10 of 10 positions in TestUnframedStreamEndsEarly. The end of a connection is an end that no one vouches for, and the gateway's own last chunk vouched for it.

Such an attempt now ends with the outcome "answered, but perhaps not to the end", and another target is asked for the events behind the last one. If it sends some, the stream goes on; if it ends the stream too, or cannot answer before the caller would abandon it, the stream ends as its first target gave it. The target and the retry are reserved first, and only while half of the retries are left, so that streams which are lost keep theirs. Without an event there is no stream to confirm: the attempt is lost.

Ruled out: passing the end on in the same form, without chunks. The caller would know that the end is not sure, but not whether it is.

TestUnframedStreamEndsEarly was red in 10 of 10 cases, TestUnframedEmptyContinuation and TestUnframedStreamsLeaveRetries in one of one.

--- a/internal/rtdelivery/attemptoutcome_string.go
+++ b/internal/rtdelivery/attemptoutcome_string.go
@@ -19,11 +19,12 @@
 	_ = x[CallerGone-8]
 	_ = x[Expired-9]
 	_ = x[Crashed-10]
+	_ = x[Unconfirmed-11]
 }
 
-const _AttemptOutcome_name = "lostnot sentnot runanother target has the addressa helper refusedno target can run itfaileddonecaller goneexpiredtarget crashed, perhaps because of the request"
+const _AttemptOutcome_name = "lostnot sentnot runanother target has the addressa helper refusedno target can run itfaileddonecaller goneexpiredtarget crashed, perhaps because of the requestanswered, but perhaps not to the end"
 
-var _AttemptOutcome_index = [...]uint8{0, 4, 12, 19, 49, 65, 85, 91, 95, 106, 113, 159}
+var _AttemptOutcome_index = [...]uint8{0, 4, 12, 19, 49, 65, 85, 91, 95, 106, 113, 159, 195}
 
 func (i AttemptOutcome) String() string {
 	idx := int(i) - 0
--- a/internal/rtdelivery/attemptstate.go
+++ b/internal/rtdelivery/attemptstate.go
@@ -22,6 +22,7 @@
 	CallerGone                          // caller gone
 	Expired                             // expired
 	Crashed                             // target crashed, perhaps because of the request
+	Unconfirmed                         // answered, but perhaps not to the end
 )
 
 // Outcome is what is known of the execution of a request.
@@ -121,7 +122,7 @@
 		s.attempts++
 		s.losses++
 		s.outcome = RanAndFailed
-	case Lost, Expired, Crashed:
+	case Lost, Expired, Crashed, Unconfirmed:
 		s.attempts++
 		s.losses++
 		s.outcome = max(s.outcome, Unknown)
@@ -138,7 +139,7 @@
 		return s.helperRefusals < s.MaxHelperRefusals
 	case Refused:
 		return s.attempts < s.MaxAttempts && s.refusals <= s.MaxRefusals && (s.Repeatable || s.outcome == NotRun)
-	case Lost, Failed:
+	case Lost, Failed, Unconfirmed:
 		return s.attempts < s.MaxAttempts && s.losses <= s.MaxLosses && s.Repeatable
 	default:
 		return false
--- a/internal/rtgateway/budget.go
+++ b/internal/rtgateway/budget.go
@@ -34,6 +34,16 @@
 	return share.Available(time.Now())
 }
 
+// retrySpare reports whether the retry budget of a service allows one more retry that
+// can be left out.
+func (g *Gateway) retrySpare(service rtid.Service) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	share := g.retryShare(service)
+	share.Processes = g.peers.BudgetProcesses()
+	return share.Spare(time.Now())
+}
+
 // retryShare returns this process's share of the retry budget of a service.
 // The caller holds mu.
 func (g *Gateway) retryShare(service rtid.Service) *rtlimit.RetryShare {
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -52,6 +52,7 @@
 	writtenType    string          // the media type that the caller has; empty for none
 	lastEventID    string          // ID of the last whole event that was written to the caller
 	lastEventAt    time.Time       // when it was received; zero before the first event
+	endReported    bool            // a target has ended the stream after the last event, and another one may have more
 	answerProven   bool            // the target of the current attempt lived on after its first event
 	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
 	probe          bool            // it shows whether a part in quarantine still crashes targets
@@ -86,6 +87,7 @@
 	rtdelivery.Failed:        "target failed",
 	rtdelivery.Expired:       "time over at target",
 	rtdelivery.Crashed:       "target crashed",
+	rtdelivery.Unconfirmed:   "end of the stream not confirmed",
 }
 
 // newDelivery returns the delivery of a request, with the limits of its route.
@@ -154,6 +156,10 @@
 		d.tried = append(d.tried, next.Target.ID)
 		return true
 	}
+	if d.endReported {
+		d.refusal = d.giveUp("no other target")
+		return false
+	}
 	defer d.leavePlaceQueue()
 	for {
 		work := q.work
@@ -255,10 +261,13 @@
 	}
 }
 
-// TakeRetry takes one retry from the retry budget of the service, unless the
-// watchdog has taken it.
+// TakeRetry takes one retry from the retry budget of the service, unless that has been
+// done for a reserved successor.
 func (d *delivery) TakeRetry(after rtdelivery.AttemptOutcome) bool {
-	return d.successor != nil || d.takeRetry(after)
+	if d.successor != nil {
+		return true
+	}
+	return !d.endReported && d.takeRetry(after)
 }
 
 func (d *delivery) takeRetry(after rtdelivery.AttemptOutcome) bool {
@@ -311,6 +320,11 @@
 // giveUpAfter is giveUp with the time after which targets are expected to have
 // room.
 func (d *delivery) giveUpAfter(reason string, delay time.Duration) *refusal {
+	if d.endReported {
+		d.gateway.log.Info("End of a stream not confirmed.", "request", d.request.info.ID, "reason", reason, "detail", d.lastDetail, "event", d.lastEventID)
+		d.countEnd(rtexchange.ByConnection)
+		return nil
+	}
 	if d.headWritten {
 		d.breakOff(reason)
 	}
@@ -342,6 +356,11 @@
 	panic(http.ErrAbortHandler)
 }
 
+// countEnd counts a stream whose end is passed on to the caller as that of a complete one.
+func (d *delivery) countEnd(framing rtexchange.Framing) {
+	d.gateway.metrics.Scope.Tagged(map[string]string{"framing": framing.String()}).Counter("stream_ends").Inc(1)
+}
+
 // logAttempt logs and counts one attempt, which was to send the events after one of them.
 func (d *delivery) logAttempt(s scheduled, r result, sent time.Time, after string) {
 	d.gateway.log.Info("Sent.", "request", d.request.info.ID, "route", d.request.route.Name,
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -159,6 +159,9 @@
 		if event.ID != "" && !followsEvent(last, event.ID) {
 			return result{outcome: rtdelivery.Failed, detail: fmt.Sprintf("event %.40q does not follow event %.40q", event.ID, last)}
 		}
+		if event.Comment && d.endReported {
+			continue // the stream may be complete, and nothing then belongs behind it
+		}
 		if !event.Comment {
 			r.watchdog.reset()
 			r.recordEvent(time.Now())
@@ -168,7 +171,10 @@
 		if _, err := d.request.w.Write(event.Bytes); err != nil {
 			return result{outcome: rtdelivery.CallerGone, detail: err.Error()}
 		}
-		r.events++
+		if !event.Comment {
+			r.events++
+			d.endReported = false
+		}
 		if event.ID != "" {
 			last, d.lastEventID = event.ID, event.ID
 		}
@@ -190,18 +196,49 @@
 	return r.response.Framing() == rtexchange.ByConnection && r.delivery.gateway.targetGone(ctx, r.target, time.Now())
 }
 
-// endOfStream ends a stream whose target has ended it between two events.
+// errNoEvents means that a response ended before it showed anything of its stream.
+var errNoEvents = errors.New("response without a length ended before its first event")
+
+// endOfStream ends a stream whose target has ended it between two events. An end that
+// only the connection shows may come early, so another target is asked for the rest of a
+// stream that may be continued.
 func (r *relay) endOfStream(ctx context.Context) result {
-	if r.endedWithTarget(ctx) {
-		return r.delivery.exchangeFailed(ctx, r.target, errEndedWithTarget)
+	d := r.delivery
+	switch {
+	case r.endedWithTarget(ctx):
+		return d.exchangeFailed(ctx, r.target, errEndedWithTarget)
+	case r.endsBeforeBegin():
+		return d.exchangeFailed(ctx, r.target, errNoEvents)
 	}
 	r.proveParts()
 	r.recordAnswer()
 	r.startResponse()
-	r.countEnd()
+	if r.response.Framing() == rtexchange.ByConnection && !d.endReported {
+		r.watchdog.stop()
+		if d.successor != nil || d.reserveConfirmation() {
+			d.endReported = true
+			return result{outcome: rtdelivery.Unconfirmed, detail: "stream ended with its connection"}
+		}
+	}
+	d.countEnd(r.response.Framing())
 	return result{outcome: rtdelivery.Done, detail: "complete"}
 }
 
+// endsBeforeBegin reports whether a response without a length has ended without an event,
+// though its stream has some, or has been broken off.
+func (r *relay) endsBeforeBegin() bool {
+	d := r.delivery
+	continuesLost := d.headWritten && !d.endReported
+	return r.response.Framing() == rtexchange.ByConnection && r.events == 0 && (continuesLost || d.lastEventID == "")
+}
+
+// reserveConfirmation reserves an attempt that shows whether a stream goes on. It does so
+// only while retries are left for streams that are lost.
+func (d *delivery) reserveConfirmation() bool {
+	return !d.attempts.IsLastAttempt() && d.gateway.retrySpare(d.request.service.Name) &&
+		d.reserveSuccessor(rtdelivery.Unconfirmed, time.Since(d.waitingSince())) == ""
+}
+
 // precedingEvent returns the ID of the event that the first one of the answer must
 // follow, or an empty string for none: the last one of a stream that is continued, here
 // or by its caller. Callers cannot continue other streams, so an ID that they send with
@@ -243,12 +280,6 @@
 	r.delivery.gateway.recordResponse(r.target.ID)
 }
 
-// countEnd counts a stream whose end is passed on to the caller as that of a complete one.
-func (r *relay) countEnd() {
-	tags := map[string]string{"framing": r.response.Framing().String()}
-	r.delivery.gateway.metrics.Scope.Tagged(tags).Counter("stream_ends").Inc(1)
-}
-
 // startResponse writes status and headers to the caller unless an earlier call for
 // the request has done so.
 func (r *relay) startResponse() {
--- /dev/null
+++ b/internal/rtgateway/streamend_test.go
@@ -0,0 +1,163 @@
+package rtgateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+// Guards against a resumable stream that ends with its connection before its last
+// event and looks complete: another target must be asked for the rest.
+func TestUnframedStreamEndsEarly(t *testing.T) {
+	continued := []struct {
+		name   string
+		script script
+	}{
+		{"in chunks", answerOK},
+		{"with its connection", unframed(events, closeInOrder)},
+	}
+	for wholeEvents := range events {
+		for _, second := range continued {
+			t.Run(fmt.Sprint(wholeEvents, " events, continued ", second.name), func(t *testing.T) {
+				withTestbed(t, 2, func(b *testbed) {
+					b.inOrder(unframed(wholeEvents, closeInOrder), second.script)
+					got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+					if got.err != nil || got.status != http.StatusOK || got.body != allEvents() {
+						t.Errorf("%s; want the whole stream", b.describeReply(got))
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a continuation that ends with its connection before its first event
+// and is taken for the end of a stream that was broken off.
+func TestUnframedEmptyContinuation(t *testing.T) {
+	withTestbed(t, 2, func(b *testbed) {
+		b.inOrder(breakAfter(2, "", closeConnection), unframed(0, closeInOrder))
+		got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+		if got.err == nil || !strings.HasPrefix(allEvents(), got.body) {
+			t.Errorf("%s; want a response that is broken off", b.describeReply(got))
+		}
+	})
+}
+
+// unconfirmed are behaviours of the target that is asked whether a stream goes on, all
+// of which leave it open.
+var unconfirmed = []struct {
+	name   string
+	script script
+}{
+	{"empty stream", answerOK},
+	{"empty stream without a length", unframed(events, closeInOrder)},
+	{"is killed", endProcess},
+	{"closes", closeInOrder},
+	{"refuses", refuseNotRun},
+	{"fails", answerWith(500, "", failureText)},
+	{"does not know the stream", answerWith(404, "", failureText)},
+	{"no content", writeText(func(r *run) string { return r.responseHead(204, "") })},
+	{"another type", answerWith(200, "Content-Type: application/json\r\n", "{}")},
+	{"silent", neverAnswer},
+	{"comments only", repeatText(func(r *run) string { return r.responseHead(200, chunked) }, chunk(":\n\n"), pause)},
+	{"starts again", func(c net.Conn, r *run) {
+		r.request.Header.Del("After")
+		answerOK(c, r)
+	}},
+}
+
+// Guards against a whole stream that ends with its connection and is broken off, held
+// back or given twice because the target that is asked for more has none or cannot
+// answer.
+func TestWholeUnframedStream(t *testing.T) {
+	for _, second := range unconfirmed {
+		for _, after := range []int{0, 2, events} {
+			t.Run(fmt.Sprint(second.name, ", caller has ", after), func(t *testing.T) {
+				withTestbed(t, 2, func(b *testbed) {
+					b.inOrder(unframed(events, closeInOrder), second.script)
+					request := headers("id-1")
+					if after > 0 {
+						request["After"] = fmt.Sprint(after)
+					}
+					got := b.call(http.MethodPost, "/stream/x", request, "")
+					if got.err != nil || got.status != http.StatusOK || got.body != eventsAfter(after) {
+						t.Errorf("%s; want the whole stream after event %d", b.describeReply(got), after)
+					}
+					if got.took > 2*time.Second {
+						t.Errorf("ended after %v, want it before the caller abandons it 2s after the last event", got.took)
+					}
+					if runs := len(b.allRuns()); runs > 2 {
+						t.Errorf("sent %d times, want at most 2", runs)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a whole stream that ends with its connection and is broken off, held
+// back or sent again too often where nobody can be asked for more.
+func TestWholeUnframedStreamAlone(t *testing.T) {
+	situations := []struct {
+		name    string
+		targets int
+		prepare func(b *testbed)
+	}{
+		{"no other target", 1, func(*testbed) {}},
+		{"no retries", 2, func(b *testbed) { b.gateway.SetBounds(Bounds{RetryWindow: 10 * time.Second, Grace: grace}) }},
+		{"one attempt", 2, func(b *testbed) { b.publishAttempts(1) }},
+	}
+	for _, situation := range situations {
+		for _, path := range []string{"/stream/x", "/once/x"} {
+			t.Run(situation.name+path, func(t *testing.T) {
+				withTestbed(t, situation.targets, func(b *testbed) {
+					situation.prepare(b)
+					for _, target := range b.targets {
+						target.set(unframed(events, closeInOrder))
+					}
+					got := b.call(http.MethodPost, path, headers("id-1"), "")
+					if got.err != nil || got.body != allEvents() || got.took > time.Second || len(b.allRuns()) != 1 {
+						t.Errorf("%s after %v; want the whole stream at once from one attempt", b.describeReply(got), got.took)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a service whose streams all end with their connections and that gets
+// so many requests for more that lost streams cannot be continued.
+func TestUnframedStreamsLeaveRetries(t *testing.T) {
+	withTestbed(t, 3, func(b *testbed) {
+		for _, target := range b.targets {
+			target.set(unframed(events, closeInOrder))
+		}
+		for i := range 200 {
+			b.call(http.MethodPost, "/stream/x", headers(fmt.Sprint("whole-", i)), "")
+		}
+		asked := len(b.allRuns()) - 200
+		if asked == 0 {
+			t.Error("no stream was confirmed")
+		}
+		first := rtid.Request("lost")
+		for _, target := range b.targets {
+			target.set(func(c net.Conn, r *run) {
+				if rtid.Request(r.request.Header.Get("Id")) == first {
+					first = ""
+					breakAfter(2, "", closeConnection)(c, r)
+					return
+				}
+				answerOK(c, r)
+			})
+		}
+		got := b.call(http.MethodPost, "/stream/x", headers("lost"), "")
+		if got.err != nil || got.body != allEvents() {
+			t.Errorf("after %d requests for more: %s; want the whole stream", asked, b.describeReply(got))
+		}
+	})
+}
--- a/internal/rtgateway/watchdog.go
+++ b/internal/rtgateway/watchdog.go
@@ -26,11 +26,12 @@
 	cancel   context.CancelCauseFunc
 	timeout  time.Duration
 
-	mu      sync.Mutex
-	waiting time.Time   // since when the caller waits for the next event
-	timer   *time.Timer // nil if no further attempt may follow
-	stopped bool
-	logged  bool // that there is no successor
+	mu       sync.Mutex
+	waiting  time.Time   // since when the caller waits for the next event
+	confirms bool        // the attempt shows whether a stream goes on that may be complete
+	timer    *time.Timer // nil if no further attempt may follow
+	stopped  bool
+	logged   bool // that there is no successor
 }
 
 // startWatchdog starts the watchdog of one attempt. When the timeout expires, it
@@ -38,17 +39,22 @@
 // stream whose target has responded to another request of this process within
 // the last half of the timeout counts as busy rather than silent.
 func (d *delivery) startWatchdog(target rtid.Target, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{delivery: d, target: target, cancel: cancel, waiting: d.waitingSince()}
-	if d.attempts.IsLastAttempt() {
+	w := &watchdog{delivery: d, target: target, cancel: cancel, waiting: d.waitingSince(), confirms: d.endReported}
+	last := d.attempts.IsLastAttempt()
+	if last && !w.confirms {
 		return w
 	}
 	w.timeout = time.Duration(silenceShare * float64(d.request.work.AbandonTimeout))
 	if d.request.route.Kind == rtcatalog.KindSafe {
 		w.timeout = time.Duration(silenceShare * float64(time.Until(d.request.deadline)))
 	}
+	first := w.timeout
+	if w.confirms {
+		first -= time.Since(w.waiting)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.timeout, w.expire)
+	w.timer = time.AfterFunc(first, w.expire)
 	return w
 }
 
@@ -60,12 +66,17 @@
 	if w.stopped {
 		return
 	}
+	if w.confirms {
+		w.stopped = true
+		w.cancel(errSilent)
+		return
+	}
 	stream := w.delivery.request.route.Kind == rtcatalog.KindStream
 	if recent := w.timeout / 2; stream && w.delivery.gateway.respondedSince(w.target, time.Now().Add(-recent)) {
 		w.timer.Reset(recent)
 		return
 	}
-	if reason := w.delivery.reserveSuccessor(time.Since(w.waiting)); reason != "" {
+	if reason := w.delivery.reserveSuccessor(rtdelivery.Lost, time.Since(w.waiting)); reason != "" {
 		if !w.logged {
 			w.logged = true
 			w.delivery.gateway.log.Info("Silent target kept.", "request", w.delivery.request.info.ID, "target", w.target, "reason", reason)
@@ -82,6 +93,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.waiting = time.Now()
+	if w.confirms && w.delivery.attempts.IsLastAttempt() {
+		w.timer.Stop()
+		w.timer = nil
+	}
+	w.confirms = false
 	if w.timer != nil && !w.stopped {
 		w.timer.Reset(w.timeout)
 	}
@@ -98,11 +114,11 @@
 	}
 }
 
-// reserveSuccessor reserves a target and a retry for the attempt that follows if
-// the current one is cancelled. It returns why there is none, or nothing. The
-// watchdog of the current attempt calls it; waited is how long the caller has
-// waited for the next event.
-func (d *delivery) reserveSuccessor(waited time.Duration) string {
+// reserveSuccessor reserves a target and a retry for the attempt that follows if the
+// current one ends with an outcome. It returns why there is none, or nothing. It must not
+// be called while the watchdog of the current attempt runs, but by the watchdog itself;
+// waited is how long the caller has waited for the next event.
+func (d *delivery) reserveSuccessor(after rtdelivery.AttemptOutcome, waited time.Duration) string {
 	if !d.gateway.retryAvailable(d.request.service.Name) {
 		// Checked first: a placement counts against the rate limit of its target.
 		return retryBudgetExhausted
@@ -117,7 +133,7 @@
 		return "no other target"
 	case next.Decision != rtplacement.Send:
 		return "other targets have no room"
-	case !d.takeRetry(rtdelivery.Lost):
+	case !d.takeRetry(after):
 		d.gateway.finish(next.inFlight)
 		return retryBudgetExhausted
 	}
--- a/internal/rtlimit/window.go
+++ b/internal/rtlimit/window.go
@@ -68,6 +68,8 @@
 	// start, when the process does not know how many retries its predecessor has
 	// used.
 	startBudgetShare = 0.3
+	// spareShare is the part of the retries that may be used for what can be left out.
+	spareShare = 0.5
 )
 
 // Start sets the length of the window and begins the first one. It must be
@@ -92,10 +94,20 @@
 
 // Available reports whether the budget allows one more retry.
 func (s *RetryShare) Available(now time.Time) bool {
+	return float64(s.retries.Count(now)+1) <= s.allowed(now)
+}
+
+// Spare reports whether the budget allows one more retry that can be left out, so that
+// enough remains for others.
+func (s *RetryShare) Spare(now time.Time) bool {
+	return float64(s.retries.Count(now)+1) <= spareShare*s.allowed(now)
+}
+
+// allowed returns the number of retries in a window.
+func (s *RetryShare) allowed(now time.Time) float64 {
 	share := budgetShare
 	if now.Sub(s.started) < s.retries.Span {
 		share = startBudgetShare
 	}
-	allowed := share * (s.Ratio*float64(s.requests.Count(now)) + s.Allowance/float64(max(1, s.Processes)))
-	return float64(s.retries.Count(now)+1) <= allowed
+	return share * (s.Ratio*float64(s.requests.Count(now)) + s.Allowance/float64(max(1, s.Processes)))
 }
