Break a stream off if its end may have been a fault

Such an end is now enough by itself only if nothing speaks against it: the answer had events, no attempt of the request was lost or has failed, and the target that was asked, if any, sent no part of an event. Otherwise the stream counts as lost: another target is asked, or the response is broken off, and its caller can ask for the rest. A reserved target that cannot be reached is replaced without a further retry. A target that has started again meanwhile, by its entry, has ended its answer too.

What it costs: in a service whose streams all end with their connections, one that was lost once is broken off behind its last event when no target with a length or chunks can confirm it.

TestUnframedEndAfterLoss, TestUnframedEndBesideLosses, TestUnframedEndBesideUnreachableTargets and TestUnframedAnswerOfRestartedTarget are new. The second end in TestUnframedStreamEndsEarly has to be confirmed now, and seven behaviours moved from TestWholeUnframedStream, where the stream was to look whole, to TestUnframedEndBesideLosses, where it is to be broken off or continued.

--- a/internal/rtdelivery/attemptstate.go
+++ b/internal/rtdelivery/attemptstate.go
@@ -154,6 +154,9 @@
 // CallerGone do not count, because nothing remains to be told after them.
 func (s *AttemptState) Outcome() Outcome { return s.outcome }
 
+// HasLoss reports whether an attempt was lost or has failed.
+func (s *AttemptState) HasLoss() bool { return s.losses > 0 }
+
 // IsLastAttempt reports whether no further attempt follows if the current one
 // is lost.
 func (s *AttemptState) IsLastAttempt() bool {
--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -55,10 +55,12 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && (hasLine || len(event.Bytes) > lineStart):
+			r.insideEvent = true
 			return Event{}, ErrTruncated
 		case errors.Is(err, io.EOF) && len(event.Bytes) > 0:
 			return event, nil
 		case err != nil:
+			r.insideEvent = hasLine || len(event.Bytes) > lineStart
 			return Event{}, err
 		}
 		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
@@ -97,6 +99,9 @@
 	return true
 }
 
+// InsideEvent reports whether NextEvent has failed after a part of an event.
+func (r *Response) InsideEvent() bool { return r.insideEvent }
+
 // EventBuffered reports whether a complete event was received and not read, so
 // that NextEvent returns without waiting.
 func (r *Response) EventBuffered() bool {
--- a/internal/rtexchange/events_test.go
+++ b/internal/rtexchange/events_test.go
@@ -71,6 +71,9 @@
 					got = append(got, expected{string(event.Bytes), event.ID})
 				}
 			}
+			if inside := strings.HasPrefix(test.name, "cut ") || test.name == "reset inside an event"; response.InsideEvent() != inside {
+				t.Errorf("ended inside an event: got %v, want %v", response.InsideEvent(), inside)
+			}
 			if !slices.Equal(got, test.events) || !errors.Is(err, test.err) {
 				t.Errorf("got %d events %.300q, error %v; want %d events, error %v", len(got), got, err, len(test.events), test.err)
 			}
--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -58,13 +58,14 @@
 	Header http.Header
 	Body   *bufio.Reader // returns io.EOF only if the response is complete
 
-	response   *http.Response
-	connection net.Conn
-	stopClose  func() bool // stops the closing of connection at the end of the context
-	writeTask  *rttask.Task
-	budget     *Budget // of the body; nil for none
-	reserved   int64   // bytes taken from budget
-	hasLine    bool    // a line of a stream has been read
+	response    *http.Response
+	connection  net.Conn
+	stopClose   func() bool // stops the closing of connection at the end of the context
+	writeTask   *rttask.Task
+	budget      *Budget // of the body; nil for none
+	reserved    int64   // bytes taken from budget
+	hasLine     bool    // a line of a stream has been read
+	insideEvent bool    // a part of an event has been read, and its rest cannot be
 }
 
 // Close closes the connection. If the response is not complete, the target sees
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -21,6 +21,7 @@
 	failedResponse *storedResponse // for rtdelivery.Failed; nil if it must not be passed on
 	firstEvent     time.Duration   // from the send to the first event; 0 if there was none
 	longestGap     time.Duration   // between two events
+	silent         bool            // the attempt was cancelled because its target had sent no part of an event
 	framing        string          // how the response says where its body ends; empty if there was none
 	events         int             // that were passed on to the caller
 }
@@ -53,6 +54,7 @@
 	lastEventID    string          // ID of the last whole event that was written to the caller
 	lastEventAt    time.Time       // when it was received; zero before the first event
 	endReported    bool            // a target has ended the stream after the last event, and another one may have more
+	endAfterEvents bool            // that target has sent events before
 	answerProven   bool            // the target of the current attempt lived on after its first event
 	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
 	probe          bool            // it shows whether a part in quarantine still crashes targets
@@ -157,8 +159,12 @@
 		return true
 	}
 	if d.endReported {
-		d.refusal = d.giveUp("no other target")
-		return false
+		// The reserved target could not be reached.
+		if reason := d.reserveTarget(time.Since(d.waitingSince())); reason != "" {
+			d.refusal = d.giveUp(reason)
+			return false
+		}
+		return d.SelectTarget(ctx)
 	}
 	defer d.leavePlaceQueue()
 	for {
@@ -242,10 +248,15 @@
 	d.lastDetail = attempted.detail
 	switch attempted.outcome {
 	case rtdelivery.Failed:
+		d.endReported = false
 		if attempted.failedResponse != nil {
 			d.dropFailedResponse()
 			d.failedResponse = attempted.failedResponse
 		}
+	case rtdelivery.Lost, rtdelivery.Crashed, rtdelivery.Expired:
+		// While connections break and targets fail, the end that another target has
+		// reported may have been a fault, too.
+		d.endReported = d.endReported && attempted.silent
 	case rtdelivery.HelperRefused:
 		// The target itself is not at fault and may be selected again.
 		d.tried = d.tried[:len(d.tried)-1]
@@ -320,7 +331,7 @@
 // giveUpAfter is giveUp with the time after which targets are expected to have
 // room.
 func (d *delivery) giveUpAfter(reason string, delay time.Duration) *refusal {
-	if d.endReported {
+	if d.endReported && d.endAfterEvents {
 		d.gateway.log.Info("End of a stream not confirmed.", "request", d.request.info.ID, "reason", reason, "detail", d.lastDetail, "event", d.lastEventID)
 		d.countEnd(rtexchange.ByConnection)
 		return nil
@@ -455,7 +466,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
 		d.gateway.startCooldown(target.ID, "silent")
-		return result{outcome: rtdelivery.Lost, detail: errSilent.Error()}
+		return result{outcome: rtdelivery.Lost, detail: errSilent.Error(), silent: true}
 	case errors.Is(context.Cause(ctx), errGraceOver):
 		return result{outcome: rtdelivery.Lost, detail: errGraceOver.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -154,7 +154,9 @@
 			return r.endOfStream(ctx)
 		}
 		if err != nil {
-			return d.exchangeFailed(ctx, r.target, err)
+			failed := d.exchangeFailed(ctx, r.target, err)
+			failed.silent = failed.silent && !r.response.InsideEvent()
+			return failed
 		}
 		if event.ID != "" && !followsEvent(last, event.ID) {
 			return result{outcome: rtdelivery.Failed, detail: fmt.Sprintf("event %.40q does not follow event %.40q", event.ID, last)}
@@ -193,15 +195,19 @@
 // process of its target did: the kernel then closes its connections in order, as at the
 // end of a whole response.
 func (r *relay) endedWithTarget(ctx context.Context) bool {
-	return r.response.Framing() == rtexchange.ByConnection && r.delivery.gateway.targetGone(ctx, r.target, time.Now())
+	if r.response.Framing() != rtexchange.ByConnection {
+		return false
+	}
+	g := r.delivery.gateway
+	current := g.views.View().Instance(r.target.ID)
+	restarted := current != nil && current.Incarnation() != r.target.Incarnation()
+	return restarted || g.targetGone(ctx, r.target, time.Now())
 }
 
 // errNoEvents means that a response ended before it showed anything of its stream.
 var errNoEvents = errors.New("response without a length ended before its first event")
 
-// endOfStream ends a stream whose target has ended it between two events. An end that
-// only the connection shows may come early, so another target is asked for the rest of a
-// stream that may be continued.
+// endOfStream ends a stream whose target has ended it between two events.
 func (r *relay) endOfStream(ctx context.Context) result {
 	d := r.delivery
 	switch {
@@ -212,18 +218,38 @@
 	}
 	r.proveParts()
 	r.recordAnswer()
-	r.startResponse()
-	if r.response.Framing() == rtexchange.ByConnection && !d.endReported {
-		r.watchdog.stop()
-		if d.successor != nil || d.reserveConfirmation() {
-			d.endReported = true
-			return result{outcome: rtdelivery.Unconfirmed, detail: "stream ended with its connection"}
-		}
+	if r.response.Framing() == rtexchange.ByConnection && !d.endReported && d.request.route.Repeatable() {
+		return r.confirmEnd()
 	}
-	d.countEnd(r.response.Framing())
+	return r.complete()
+}
+
+// complete ends the response as that of a complete stream.
+func (r *relay) complete() result {
+	r.startResponse()
+	r.delivery.countEnd(r.response.Framing())
 	return result{outcome: rtdelivery.Done, detail: "complete"}
 }
 
+// confirmEnd has another target asked for the rest of a stream whose end only the
+// connection shows, because such an end may come early. After a loss, or without an
+// event, the end must be confirmed. Otherwise it is enough if nobody can be asked, or if
+// the other target has no more events or does not answer.
+func (r *relay) confirmEnd() result {
+	d := r.delivery
+	r.watchdog.stop()
+	unconfirmed := result{outcome: rtdelivery.Unconfirmed, detail: "stream ended with its connection"}
+	if d.attempts.HasLoss() {
+		return unconfirmed // as after another loss
+	}
+	d.endAfterEvents = r.events > 0
+	d.endReported = d.successor != nil || d.reserveConfirmation()
+	if d.endReported || !d.endAfterEvents {
+		return unconfirmed
+	}
+	return r.complete()
+}
+
 // endsBeforeBegin reports whether a response without a length has ended without an event,
 // though its stream has some, or has been broken off.
 func (r *relay) endsBeforeBegin() bool {
--- a/internal/rtgateway/streamend_test.go
+++ b/internal/rtgateway/streamend_test.go
@@ -15,20 +15,25 @@
 // event and looks complete: another target must be asked for the rest.
 func TestUnframedStreamEndsEarly(t *testing.T) {
 	continued := []struct {
-		name   string
-		script script
+		name     string
+		attempts int
+		script   script
+		whole    bool
 	}{
-		{"in chunks", answerOK},
-		{"with its connection", unframed(events, closeInOrder)},
+		{"in chunks", 2, answerOK, true},
+		{"with its connection and confirmed", 3, unframed(events, closeInOrder), true},
+		// The first end has proven wrong, and nobody can confirm the second one.
+		{"with its connection at the last attempt", 2, unframed(events, closeInOrder), false},
 	}
 	for wholeEvents := range events {
 		for _, second := range continued {
 			t.Run(fmt.Sprint(wholeEvents, " events, continued ", second.name), func(t *testing.T) {
-				withTestbed(t, 2, func(b *testbed) {
-					b.inOrder(unframed(wholeEvents, closeInOrder), second.script)
+				withTestbed(t, 3, func(b *testbed) {
+					b.publishAttempts(second.attempts)
+					b.inOrder(unframed(wholeEvents, closeInOrder), second.script, answerOK)
 					got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
-					if got.err != nil || got.status != http.StatusOK || got.body != allEvents() {
-						t.Errorf("%s; want the whole stream", b.describeReply(got))
+					if (got.err == nil) != second.whole || got.status != http.StatusOK || got.body != allEvents() {
+						t.Errorf("%s; want all events, and the end of the response %v", b.describeReply(got), second.whole)
 					}
 				})
 			})
@@ -48,29 +53,90 @@
 	})
 }
 
+// Guards against a stream that looks complete although one target was lost and the last
+// one ended its answer early, with its connection.
+func TestUnframedEndAfterLoss(t *testing.T) {
+	losses := []struct {
+		name   string
+		script script
+	}{
+		{"broken off", breakAfter(1, "", closeConnection)},
+		{"killed", unframed(1, endProcess)},
+		{"closed in its head", writeText(func(*run) string { return "HTTP/1.1 200 OK\r\nId: i" })},
+		{"out of order", writeText(func(r *run) string { return r.responseHead(200, chunked) + chunk(event(2)+event(1)) })},
+	}
+	for _, loss := range losses {
+		for attempts := 2; attempts <= 3; attempts++ {
+			t.Run(fmt.Sprint(loss.name, ", ", attempts, " attempts"), func(t *testing.T) {
+				withTestbed(t, 4, func(b *testbed) {
+					b.publishAttempts(attempts)
+					b.inOrder(loss.script, unframed(1, closeInOrder), answerOK)
+					got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+					if _, ordered := lastInOrder(got.body); !ordered || (got.err == nil) != (attempts == 3) {
+						t.Errorf("%s; want the stream whole after 3 attempts, and broken off after 2", b.describeReply(got))
+					}
+				})
+			})
+		}
+	}
+}
+
 // unconfirmed are behaviours of the target that is asked whether a stream goes on, all
 // of which leave it open.
 var unconfirmed = []struct {
 	name   string
 	script script
+	answer bool // it says that the stream has ended
+}{
+	{"empty stream", answerOK, true},
+	{"empty stream without a length", unframed(events, closeInOrder), true},
+	{"refuses", refuseNotRun, false},
+	{"silent", neverAnswer, false},
+	{"comments only", repeatText(func(r *run) string { return r.responseHead(200, chunked) }, chunk(":\n\n"), pause), false},
+}
+
+// contradicting are behaviours of that target which are faults themselves, so that the
+// end may have been one, too.
+var contradicting = []struct {
+	name   string
+	script script
 }{
-	{"empty stream", answerOK},
-	{"empty stream without a length", unframed(events, closeInOrder)},
 	{"is killed", endProcess},
 	{"closes", closeInOrder},
-	{"refuses", refuseNotRun},
+	{"closes in its head", writeText(func(*run) string { return "HTTP/1.1 200 OK\r\nId: i" })},
+	{"breaks off", breakAfter(0, "", closeConnection)},
+	{"silent inside an event", breakAfter(0, "id: ", func(c net.Conn) { neverAnswer(c, nil) })},
 	{"fails", answerWith(500, "", failureText)},
 	{"does not know the stream", answerWith(404, "", failureText)},
 	{"no content", writeText(func(r *run) string { return r.responseHead(204, "") })},
 	{"another type", answerWith(200, "Content-Type: application/json\r\n", "{}")},
-	{"silent", neverAnswer},
-	{"comments only", repeatText(func(r *run) string { return r.responseHead(200, chunked) }, chunk(":\n\n"), pause)},
 	{"starts again", func(c net.Conn, r *run) {
 		r.request.Header.Del("After")
 		answerOK(c, r)
 	}},
 }
 
+// Guards against a stream that ends early with its connection and looks complete because
+// the connection to the target that is asked for more breaks, too.
+func TestUnframedEndBesideLosses(t *testing.T) {
+	for _, second := range contradicting {
+		for wholeEvents := 1; wholeEvents <= events; wholeEvents++ {
+			for attempts := 2; attempts <= 3; attempts++ {
+				t.Run(fmt.Sprint(second.name, " after ", wholeEvents, " events, ", attempts, " attempts"), func(t *testing.T) {
+					withTestbed(t, 3, func(b *testbed) {
+						b.publishAttempts(attempts)
+						b.inOrder(unframed(wholeEvents, closeInOrder), second.script, answerOK)
+						got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+						if !strings.HasPrefix(allEvents(), got.body) || (got.err == nil) != (attempts == 3) || got.err == nil && got.body != allEvents() {
+							t.Errorf("%s; want the stream whole after 3 attempts, and broken off after 2", b.describeReply(got))
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // Guards against a whole stream that ends with its connection and is broken off, held
 // back or given twice because the target that is asked for more has none or cannot
 // answer.
@@ -85,8 +151,12 @@
 						request["After"] = fmt.Sprint(after)
 					}
 					got := b.call(http.MethodPost, "/stream/x", request, "")
-					if got.err != nil || got.status != http.StatusOK || got.body != eventsAfter(after) {
-						t.Errorf("%s; want the whole stream after event %d", b.describeReply(got), after)
+					want := http.StatusOK
+					if after == events && !second.answer {
+						want = http.StatusBadGateway // neither target has shown anything of the stream
+					}
+					if got.err != nil || got.status != want || got.status == http.StatusOK && got.body != eventsAfter(after) {
+						t.Errorf("%s; want status %d, and the whole stream after event %d", b.describeReply(got), want, after)
 					}
 					if got.took > 2*time.Second {
 						t.Errorf("ended after %v, want it before the caller abandons it 2s after the last event", got.took)
@@ -161,3 +231,30 @@
 		}
 	})
 }
+
+// Guards against an end that is not confirmed because the first target that was to be
+// asked cannot be reached.
+func TestUnframedEndBesideUnreachableTargets(t *testing.T) {
+	withTestbed(t, 4, func(b *testbed) {
+		for _, target := range b.targets {
+			target.set(func(c net.Conn, r *run) {
+				if len(b.allRuns()) > 1 {
+					answerOK(c, r)
+					return
+				}
+				unreachable := 0
+				for _, other := range b.targets {
+					if other != r.target && unreachable < 2 {
+						unreachable++
+						b.network.Kill(string(other.address))
+					}
+				}
+				unframed(2, closeInOrder)(c, r)
+			})
+		}
+		got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+		if got.err != nil || got.body != allEvents() {
+			t.Errorf("%s; want the whole stream", b.describeReply(got))
+		}
+	})
+}
--- a/internal/rtgateway/unframed_test.go
+++ b/internal/rtgateway/unframed_test.go
@@ -108,3 +108,17 @@
 		}
 	})
 }
+
+// Guards against an answer that looks complete although its target was killed and has
+// already started again at its address.
+func TestUnframedAnswerOfRestartedTarget(t *testing.T) {
+	withTestbed(t, 1, func(b *testbed) {
+		b.targets[0].set(unframed(2, func(net.Conn, *run) {
+			b.targets[0].born = 2
+			b.publish(newConfiguration(2))
+		}))
+		if got := b.call(http.MethodPost, "/once/x", headers("id-1"), ""); got.err == nil {
+			t.Errorf("%s; want a response that is broken off", b.describeReply(got))
+		}
+	})
+}
--- a/internal/rtgateway/watchdog.go
+++ b/internal/rtgateway/watchdog.go
@@ -123,8 +123,20 @@
 		// Checked first: a placement counts against the rate limit of its target.
 		return retryBudgetExhausted
 	}
-	// The current attempt may still succeed, so an answer that has begun gets no
-	// precedence over others here.
+	if reason := d.reserveTarget(waited); reason != "" {
+		return reason
+	}
+	if !d.takeRetry(after) {
+		d.dropSuccessor()
+		return retryBudgetExhausted
+	}
+	return ""
+}
+
+// reserveTarget is reserveSuccessor without a retry.
+func (d *delivery) reserveTarget(waited time.Duration) string {
+	// The caller may already have its whole answer, or get it from the current attempt,
+	// so an answer that has begun gets no precedence over others here.
 	work := d.request.work
 	work.Waited = waited
 	next, ok := d.gateway.place(d.request, work, d.tried)
@@ -133,9 +145,6 @@
 		return "no other target"
 	case next.Decision != rtplacement.Send:
 		return "other targets have no room"
-	case !d.takeRetry(after):
-		d.gateway.finish(next.inFlight)
-		return retryBudgetExhausted
 	}
 	d.successor = &next
 	return ""
