--- a/internal/rtgateway/streamend_test.go
+++ b/internal/rtgateway/streamend_test.go
@@ -143,6 +143,10 @@
 func TestWholeUnframedStream(t *testing.T) {
 	for _, second := range unconfirmed {
 		for _, after := range []int{0, 2, events} {
+			want := http.StatusOK
+			if after == events && !second.answer {
+				want = http.StatusBadGateway // neither target has shown anything of the stream
+			}
 			t.Run(fmt.Sprint(second.name, ", caller has ", after), func(t *testing.T) {
 				withTestbed(t, 2, func(b *testbed) {
 					b.inOrder(unframed(events, closeInOrder), second.script)
@@ -150,26 +154,26 @@
 					if after > 0 {
 						request["After"] = fmt.Sprint(after)
 					}
-					got := b.call(http.MethodPost, "/stream/x", request, "")
-					want := http.StatusOK
-					if after == events && !second.answer {
-						want = http.StatusBadGateway // neither target has shown anything of the stream
-					}
-					if got.err != nil || got.status != want || got.status == http.StatusOK && got.body != eventsAfter(after) {
-						t.Errorf("%s; want status %d, and the whole stream after event %d", b.describeReply(got), want, after)
-					}
-					if got.took > 2*time.Second {
-						t.Errorf("ended after %v, want it before the caller abandons it 2s after the last event", got.took)
-					}
-					if runs := len(b.allRuns()); runs > 2 {
-						t.Errorf("sent %d times, want at most 2", runs)
-					}
+					checkWhole(b, b.call(http.MethodPost, "/stream/x", request, ""), want, after)
 				})
 			})
 		}
 	}
 }
 
+// checkWhole checks a reply to a request for the events after one that its caller has.
+func checkWhole(b *testbed, got reply, status, after int) {
+	if got.err != nil || got.status != status || status == http.StatusOK && got.body != eventsAfter(after) {
+		b.t.Errorf("%s; want status %d, and the whole stream after event %d", b.describeReply(got), status, after)
+	}
+	if got.took > 2*time.Second {
+		b.t.Errorf("ended after %v, want it before the caller abandons it 2s after the last event", got.took)
+	}
+	if runs := len(b.allRuns()); runs > 2 {
+		b.t.Errorf("sent %d times, want at most 2", runs)
+	}
+}
+
 // Guards against a whole stream that ends with its connection and is broken off, held
 // back or sent again too often where nobody can be asked for more.
 func TestWholeUnframedStreamAlone(t *testing.T) {
