Do not continue a stream behind an event without an ID

A resumable stream that was lost behind an event with data and without an ID was continued after the last ID, or from its first event if there was none, so that callers got events twice. The platform's events have IDs; the product takes other targets as well.

Such a stream is now broken off. Blocks without data, such as the time after which a client should reconnect, do not count.

TestStreamWithOtherFieldsIsContinued keeps the rest.

--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -31,6 +31,9 @@
 	// Comment says that it has comments only. A target may send them while it makes no
 	// progress.
 	Comment bool
+	// HasData says that it has a data field. Without one it is only about the stream, such
+	// as the time after which a client should reconnect.
+	HasData bool
 }
 
 // NextEvent returns the next complete event. It returns io.EOF if the stream
@@ -77,6 +80,7 @@
 		}
 		hasLine = hasLine || len(line) > 0
 		event.Comment = event.Comment && (len(line) == 0 || line[0] == ':')
+		event.HasData = event.HasData || bytes.HasPrefix(line, []byte("data:")) || string(line) == "data"
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			event.ID = string(bytes.TrimSpace(id))
 		}
--- a/internal/rtgateway/eventorder_test.go
+++ b/internal/rtgateway/eventorder_test.go
@@ -122,3 +122,54 @@
 		})
 	}
 }
+
+// Guards against events that come twice because a stream whose events have no IDs is
+// continued: the next target can only begin it again.
+func TestStreamWithoutIDsIsNotContinued(t *testing.T) {
+	plain := func(i int) string { return fmt.Sprintf("data: e%d\n\n", i) }
+	streams := []struct {
+		name   string
+		events []string // before the loss
+	}{
+		{"no IDs", []string{plain(1), plain(2)}},
+		{"no ID of the last event", []string{event(1), plain(2)}},
+	}
+	losses := []struct {
+		name string
+		end  func(net.Conn)
+	}{{"closed", closeConnection}, {"silent", func(c net.Conn) { neverAnswer(c, nil) }}}
+	for _, stream := range streams {
+		for _, loss := range losses {
+			t.Run(stream.name+", "+loss.name, func(t *testing.T) {
+				withTestbed(t, 2, func(b *testbed) {
+					want := strings.Join(stream.events, "")
+					for _, target := range b.targets {
+						target.set(func(c net.Conn, r *run) {
+							_, _ = io.WriteString(c, r.responseHead(200, chunked)+chunk(want))
+							loss.end(c)
+						})
+					}
+					got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+					if got.err == nil || got.body != want || len(b.allRuns()) != 1 {
+						t.Errorf("%s; want %q once, and the response broken off", b.describeReply(got), want)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stream that is not continued because its target has sent something
+// about the stream that has no ID and no data.
+func TestStreamWithOtherFieldsIsContinued(t *testing.T) {
+	withTestbed(t, 2, func(b *testbed) {
+		const other = "retry: 3000\n\n"
+		b.inOrder(writeText(func(r *run) string {
+			return r.responseHead(200, chunked) + chunk(other+event(1)+other+event(2)+other)
+		}), answerOK)
+		got := b.call(http.MethodPost, "/stream/x", headers("id-1"), "")
+		if want := other + event(1) + other + event(2) + other + eventsAfter(2); got.err != nil || got.body != want {
+			t.Errorf("%s; want %q", b.describeReply(got), want)
+		}
+	})
+}
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -177,8 +177,13 @@
 			r.events++
 			d.endReported = false
 		}
-		if event.ID != "" {
+		switch {
+		case event.ID != "":
 			last, d.lastEventID = event.ID, event.ID
+		case event.HasData:
+			// No other target can be asked for what follows an event without an ID.
+			d.attempts.Repeatable = false
+			r.watchdog.stop()
 		}
 		if !r.response.EventBuffered() {
 			if err := control.Flush(); err != nil {
@@ -218,7 +223,7 @@
 	}
 	r.proveParts()
 	r.recordAnswer()
-	if r.response.Framing() == rtexchange.ByConnection && !d.endReported && d.request.route.Repeatable() {
+	if r.response.Framing() == rtexchange.ByConnection && !d.endReported && d.attempts.Repeatable {
 		return r.confirmEnd()
 	}
 	return r.complete()
