Do not take an answer that ends behind its head for an empty one

From a report of operators: a server stopped in the middle of its answer's head and closed, and callers got a success with an empty body. Inside the head this cannot happen here, by TestAnswerCutInHead at each byte of three forms of head and four kinds of requests. Right behind a head without a length it could, for safe requests and orders: 200 with an empty body, 2 of 12 cases red.

A success without a length, without chunks and without a body shows nothing of its answer. The attempt is now lost: a safe request goes to another target, an order gets 502. Answers that have no body by their nature (HEAD, 204) and failures are passed on as before (TestAnswerWithoutBody).

--- a/internal/rtexchange/framing.go
+++ b/internal/rtexchange/framing.go
@@ -1,13 +1,16 @@
 package rtexchange
 
-import "slices"
+import (
+	"net/http"
+	"slices"
+)
 
 // Framing is how a response says where its body ends.
 type Framing int
 
 // The framings. The comments are the texts of String.
 const (
-	// ByLength is a body of an announced length, which may be 0.
+	// ByLength is a body of an announced length, which may be 0, or none as after HEAD.
 	ByLength Framing = iota // length
 	// ByChunks is a body in chunks, the last of which is empty.
 	ByChunks // chunks
@@ -24,7 +27,7 @@
 	switch {
 	case slices.Contains(r.response.TransferEncoding, "chunked"):
 		return ByChunks
-	case r.response.ContentLength >= 0:
+	case r.response.ContentLength >= 0, r.response.Body == http.NoBody:
 		return ByLength
 	default:
 		return ByConnection
--- a/internal/rtgateway/brokenstream_test.go
+++ b/internal/rtgateway/brokenstream_test.go
@@ -23,10 +23,13 @@
 
 // inOrder gives the attempts of a request to scripts in their order of arrival. The
 // last script also gets all later ones.
-func (b *testbed) inOrder(scripts ...script) {
+func (b *testbed) inOrder(scripts ...script) { b.inOrderAfter(0, scripts...) }
+
+// inOrderAfter is inOrder for the attempts after a number of them.
+func (b *testbed) inOrderAfter(attempts int, scripts ...script) {
 	for _, target := range b.targets {
 		target.set(func(c net.Conn, r *run) {
-			scripts[min(len(b.allRuns()), len(scripts))-1](c, r)
+			scripts[min(len(b.allRuns())-attempts, len(scripts))-1](c, r)
 		})
 	}
 }
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -109,8 +109,11 @@
 	if err != nil {
 		return r.delivery.exchangeFailed(ctx, r.target, err)
 	}
-	if r.endedWithTarget(ctx) {
+	switch {
+	case r.endedWithTarget(ctx):
 		return r.delivery.exchangeFailed(ctx, r.target, errEndedWithTarget)
+	case r.response.Framing() == rtexchange.ByConnection && len(body) == 0 && r.response.Status < http.StatusMultipleChoices:
+		return r.delivery.exchangeFailed(ctx, r.target, errNoBody)
 	}
 	response := &storedResponse{status: r.response.Status, header: r.response.Header, body: body}
 	if r.response.Status >= http.StatusInternalServerError {
@@ -209,6 +212,9 @@
 	return restarted || g.targetGone(ctx, r.target, time.Now())
 }
 
+// errNoBody means that a response ended before it showed anything of its body.
+var errNoBody = errors.New("response without a length ended before its body")
+
 // errNoEvents means that a response ended before it showed anything of its stream.
 var errNoEvents = errors.New("response without a length ended before its first event")
 
