--- a/internal/rtgateway/stream_test.go
+++ b/internal/rtgateway/stream_test.go
@@ -283,3 +283,25 @@
 		})
 	}
 }
+
+// Guards against a connection on which no answer can be written any more once the
+// deadline of an earlier stream on it has passed.
+func TestRequestsAfterStreamOnConnection(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/order/x", "/stream/x", "/unknown"} {
+		t.Run(path, func(t *testing.T) {
+			withTestbed(t, 1, func(b *testbed) {
+				transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+					return b.network.Host("10.0.9.9").Dial(ctx, callers)
+				}}
+				defer transport.CloseIdleConnections()
+				if got := b.callOver(transport, "id-1", "/stream/x"); got.err != nil || got.body != allEvents() {
+					t.Fatalf("%s; want the whole stream", b.describeReply(got))
+				}
+				time.Sleep(12 * time.Second) // the deadline is 10 s after the request, the idle limit 15 s
+				if got := b.callOver(transport, "id-2", path); got.err != nil {
+					t.Errorf("%s; want an answer on the same connection", b.describeReply(got))
+				}
+			})
+		})
+	}
+}
