--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -53,8 +53,8 @@
 	writtenType    string          // the media type that the caller has; empty for none
 	lastEventID    string          // ID of the last whole event that was written to the caller
 	lastEventAt    time.Time       // when it was received; zero before the first event
-	endReported    bool            // a target has ended the stream after the last event, and another one may have more
-	endAfterEvents bool            // that target has sent events before
+	endReported    bool            // a target has ended the stream after the last event; set while another one is asked for more
+	endAfterEvents bool            // that target had sent events before
 	answerProven   bool            // the target of the current attempt lived on after its first event
 	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
 	probe          bool            // it shows whether a part in quarantine still crashes targets
