Avoid targets that fail more often than the others of their service

A target that fails a part of its requests and passes its health checks kept its share of them: a failed answer starts no cooldown, and with 46 gateways none sees enough answers of one engine to tell.

Gateways of a cell now add up decayed counts of answers and failures. A target that fails a fifth of its answers is avoided for some seconds, unless more than a third of its service would be. It is off unless the features file turns it on.

--- a/internal/rtfeature/feature.go
+++ b/internal/rtfeature/feature.go
@@ -25,6 +25,7 @@
 	Shares     Switch   `toml:"shares"`     // fair shares among organisations
 	Prediction Switch   `toml:"prediction"` // predictions corrected by what was observed
 	Returns    Switch   `toml:"returns"`    // retry delays by expected room
+	Outliers   Switch   `toml:"outliers"`   // targets that fail more often than others are avoided
 	Hedging    Hedging  `toml:"hedging"`
 }
 
--- a/internal/rtfeature/feature_test.go
+++ b/internal/rtfeature/feature_test.go
@@ -19,8 +19,8 @@
 		findings   []string // text of each, in order
 	}{
 		{"empty", "", Settings{}, nil},
-		{"all", "slo = \"4s\"\n[shares]\nenabled = true\n[prediction]\nenabled = true\n[returns]\nenabled = true\n[hedging]\nratio = 0.02\n",
-			Settings{SLO: Duration(4 * time.Second), Shares: Switch{true}, Prediction: Switch{true}, Returns: Switch{true}, Hedging: Hedging{0.02}}, nil},
+		{"all", "slo = \"4s\"\n[shares]\nenabled = true\n[prediction]\nenabled = true\n[returns]\nenabled = true\n[outliers]\nenabled = true\n[hedging]\nratio = 0.02\n",
+			Settings{SLO: Duration(4 * time.Second), Shares: Switch{true}, Prediction: Switch{true}, Returns: Switch{true}, Outliers: Switch{true}, Hedging: Hedging{0.02}}, nil},
 		{"unknown key", "[shares]\nweight = 1\n", Settings{}, []string{"shares.weight: is not a setting"}},
 		{"two findings", "slo = \"-1s\"\n[hedging]\nratio = 0.5\n", Settings{}, []string{"slo: is -1s", "hedging.ratio: is 0.5"}},
 		{"no number", "[hedging]\nratio = nan\n", Settings{}, []string{"hedging.ratio: is NaN"}},
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -244,6 +244,7 @@
 	sent, after := time.Now(), d.lastEventID
 	attempted := d.send(ctx, d.scheduled.Placement, d.scheduled.inFlight)
 	d.gateway.finish(d.scheduled.inFlight)
+	d.gateway.recordOutcome(d.scheduled.Target, attempted)
 	d.logAttempt(d.scheduled, attempted, sent, after)
 	d.lastDetail = attempted.detail
 	switch attempted.outcome {
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnotice"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtoutlier"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
 )
@@ -122,7 +123,9 @@
 	leaves       rtnotice.Leaves
 	backoffs     rtnotice.Backoffs
 
-	noticeFindings, backoffLogs lineLimiter
+	outliers rtoutlier.Tracker
+
+	noticeFindings, backoffLogs, outlierLogs lineLimiter
 }
 
 // New returns a gateway that has not started.
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -100,6 +100,7 @@
 // mu.
 func (g *Gateway) usable(view *rtcatalog.View, instances []*rtcatalog.Instance, service *rtcatalog.Service,
 	tried []rtid.Target, short bool, now time.Time) (healthy, coolingDown []rtplacement.Candidate, kept keptOut) {
+	outliers := g.outlyingTargets(view, service, now)
 	for _, instance := range instances {
 		g.forgetPredecessor(instance)
 		instance = g.atAddress(view, instance, now)
@@ -145,7 +146,7 @@
 		c := g.cooldowns[instance.ID]
 		switch {
 		case now.Before(c.until) && c.replaced:
-		case now.Before(c.until):
+		case now.Before(c.until) || isOutlier(outliers, instance):
 			coolingDown = append(coolingDown, candidate)
 		default:
 			healthy = append(healthy, candidate)
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -14,6 +14,7 @@
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtoutlier"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
 )
@@ -34,6 +35,7 @@
 	Evidence   []reportedEvidence           `json:"evidence,omitempty"`
 	Limits     []reportedLimit              `json:"limits,omitempty"`  // named by targets to the sender
 	Leaving    []rtid.TargetIncarnation     `json:"leaving,omitempty"` // at most maxReportedLeaves
+	Outcomes   []rtoutlier.Report           `json:"-"`                 // in the binary encoding only
 	Codec      int                          `json:"codec,omitempty"`   // latest encoding that the sender reads
 }
 
@@ -114,7 +116,7 @@
 
 // forOtherCells returns the digest without what concerns the targets of the cell.
 func (d digest) forOtherCells() digest {
-	d.Loads, d.Cooldowns = nil, nil
+	d.Loads, d.Cooldowns, d.Outcomes = nil, nil, nil
 	return d
 }
 
@@ -166,6 +168,7 @@
 	message.Evidence = g.localEvidence()
 	message.Limits = g.localLimits()
 	message.Leaving = g.localLeaves()
+	message.Outcomes = g.localOutcomes()
 	return message
 }
 
@@ -293,6 +296,7 @@
 	}
 	g.mergeLimits(message.Limits, delay)
 	g.mergeLeaves(message.Leaving)
+	g.setOutcomes(message.VM, message.Outcomes)
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -138,6 +138,7 @@
 	Evidence EvidenceExchange // nil for none
 	Limits   LimitExchange    // nil for none
 	Leaves   LeaveExchange    // nil for none
+	Outcomes OutcomeExchange  // nil for none
 	Log      logr.Logger
 	Scope    tally.Scope // nil for no metrics
 }
