--- a/internal/rtoutlier/outlier_test.go
+++ b/internal/rtoutlier/outlier_test.go
@@ -36,10 +36,13 @@
 	return f
 }
 
-// play sends requests at a rate for a time, each to a target that its gateway does not
+// requestRate is the requests per second of the replayed load.
+const requestRate = 130
+
+// play sends requests for a time, each to a target that its gateway does not
 // avoid, and returns the share of them that failed. Reports are exchanged every 450 ms.
-func (f *fleet) play(perSecond int, length time.Duration, failureShare func(target int) float64) float64 {
-	step := time.Second / time.Duration(perSecond)
+func (f *fleet) play(length time.Duration, failureShare func(target int) float64) float64 {
+	step := time.Second / requestRate
 	failures, requests := 0, 0
 	lastExchange := f.now
 	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(step) {
@@ -87,13 +90,13 @@
 		}
 		return 0
 	}
-	f.play(130, 3*time.Second, grey)
+	f.play(3*time.Second, grey)
 	without := 0.38 * 10 / 69
-	if share := f.play(130, 10*time.Second, grey); share > without/2 {
+	if share := f.play(10*time.Second, grey); share > without/2 {
 		t.Errorf("%.4f of the requests failed, want at most half of the %.4f without outlier detection", share, without)
 	}
 	sound := func(int) float64 { return 0 }
-	f.play(130, 8*time.Second, sound)
+	f.play(8*time.Second, sound)
 	if avoided := f.trackers[0].Outliers(f.targets, f.now); len(avoided) > 0 {
 		t.Errorf("%d targets are still avoided 8 s after they have recovered, want 0", len(avoided))
 	}
@@ -115,7 +118,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFleet(23, test.targets)
-			f.play(130, 10*time.Second, test.failureShare)
+			f.play(10*time.Second, test.failureShare)
 			f.exchange()
 			avoided := f.trackers[0].Outliers(f.targets, f.now)
 			if test.name == "every hundredth request fails" && len(avoided) <= 1 {
