Send requests from the first moment of a gateway of many

Cause: until a gateway knows its rank, 0.5 s after its start, it took the last one.

Change, only with more processes than the limit has requests: a process draws targets by a hash of target and VM until it knows its rank, uses half of the limit by rank for the next second, then the limit. The fraction is bounded by half of the limit and by Chernoff's bound for half of the allowed rate, because half of the limit alone exceeds the rate: with it TestStartShareSum fails, for example with 30 requests of 26 allowed for 29 processes that start twice within a second. Targets that say that they are cold keep the previous rule in the first second. A request without a share waits if one is known to come within half of its abandon timeout, otherwise it is refused at once with that time.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -56,6 +56,7 @@
 	endReported    bool            // a target has ended the stream after the last event; set while another one is asked for more
 	endAfterEvents bool            // that target had sent events before
 	answerProven   bool            // the target of the current attempt lived on after its first event
+	waitedForShare bool            // it has waited for a share of the cold rate of a target
 	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
 	probe          bool            // it shows whether a part in quarantine still crashes targets
 }
@@ -177,6 +178,12 @@
 				return false
 			}
 			remaining := d.noTargetTimeout() - work.Waited
+			if candidate.shareWait > 0 {
+				if remaining, ok = d.waitForShare(candidate, work.Waited); !ok {
+					d.refusal = d.giveUpAfter(reasonNoShare, shareRetryDelay(candidate.shareWait))
+					return false
+				}
+			}
 			if len(candidate.places) > 0 && !d.waitForPlace(candidate.places, remaining) {
 				d.refusal = d.giveUpAfter(reasonRateLimit, candidate.places.retryAfter())
 				return false
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -36,6 +36,10 @@
 	// backoff is the time until the first target takes requests again, if there are
 	// only targets that want none; 0 if one of the others may become usable.
 	backoff time.Duration
+	// shareWait is the time until this process may send to the first of the targets
+	// to which its share of the cold rate allows less than one request a second; 0 for
+	// no such target.
+	shareWait time.Duration
 }
 
 // place decides where the work of a request goes and whether to send it now. It
@@ -53,7 +57,7 @@
 		// availability zone.
 		candidates, kept = g.candidates(view, view.Instances(q.service.Name), q.service, tried, short, now)
 	}
-	placed.places = kept.places
+	placed.places, placed.shareWait = kept.places, kept.share
 	if len(candidates) == 0 && !kept.other {
 		placed.backoff = kept.backoff
 	}
@@ -80,6 +84,7 @@
 	places  limitPlaces   // waits for the targets that only their rate limit keeps out
 	backoff time.Duration // until the first target takes requests that wants none; 0 for no such target
 	other   bool          // some are kept out by something else that passes soon
+	share   time.Duration // until the first target may get a request from this process, of those that only the cold rate keeps out; 0 for no such target
 }
 
 // candidates returns the targets that may receive a request now, and the engines that
@@ -119,6 +124,7 @@
 		helperOnly := !g.withinColdRate(service, instance, now)
 		if helperOnly {
 			kept.other = true
+			kept.addShareWait(g.coldShareWait(service, instance, now))
 			if service.Engine == nil {
 				continue
 			}
@@ -200,18 +206,15 @@
 	if service.ColdRate <= 0 {
 		return true
 	}
-	factor := g.bounds.ColdFactor
-	if factor <= 0 {
-		factor = 1 // not published
-	}
-	limit := coldLimit(service.ColdRate*factor+g.bounds.ColdSlack, instance.ColdRemaining > 0 && now.Sub(g.started) < coldWindow)
+	bound := g.coldBound(service)
+	limit := coldLimit(bound, g.coldAtStart(instance, now))
 	sent := g.recentSendsOf(instance.ID).CountWithin(coldWindow, now)
 	processes := max(1, g.peers.BudgetProcesses())
 	if limit%processes == 0 || sent != limit/processes {
 		// The rank, which is costly, does not matter.
 		return sent < limit/processes
 	}
-	return sent < g.peers.BudgetShare("cold "+string(instance.ID)).Part(limit)
+	return sent < g.coldPart(instance, limit, bound, now)
 }
 
 // coldLimit returns how many requests all processes together may send, within
--- a/internal/rtlimit/targetlimit.go
+++ b/internal/rtlimit/targetlimit.go
@@ -40,6 +40,13 @@
 type Share struct {
 	Rank      int // from 0, in an order that all processes share
 	Processes int // at least 1
+	// Phase is how much the process knows of its place, and PhaseLeft is the time until
+	// the next phase; 0 if there is none. Only parts of cold rates depend on it.
+	Phase     Phase
+	PhaseLeft time.Duration
+
+	position float64 // hash of limit and process, in [0, 1)
+	alone    bool    // no process is known that knows its rank
 }
 
 // Part returns the part of a limit of whole requests for the process. The parts of
--- a/internal/rtlimit/window.go
+++ b/internal/rtlimit/window.go
@@ -36,6 +36,15 @@
 	return count
 }
 
+// Last returns the time of the last event of the last Span. It reports false if there
+// is none.
+func (w *Window) Last(now time.Time) (time.Time, bool) {
+	if w.Count(now) == 0 {
+		return time.Time{}, false
+	}
+	return w.events[len(w.events)-1], true
+}
+
 // waitForRoom returns how long it takes until fewer than limit events are left.
 func (w *Window) waitForRoom(now time.Time, limit int) time.Duration {
 	excess := w.Count(now) - limit
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -307,6 +307,9 @@
 	p.vm, p.lastDigest, p.revision, p.storeContact = message.VM, now, message.StoreRevision, time.Time{}
 	p.version, p.kept = message.Version, message.Kept
 	p.binary = message.Codec >= binaryCodec
+	if message.Sent >= discoveryTime.Milliseconds() {
+		g.heardRunning = true
+	}
 	if message.ContactAge != unknownAge {
 		p.storeContact = now.Add(-time.Duration(message.ContactAge) * time.Millisecond)
 	}
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -50,7 +51,7 @@
 	// A seed that receives its first digest replies at once with a list of
 	// peers. assumedProcesses is about the size of the largest deployment at
 	// present.
-	discoveryTime    = 500 * time.Millisecond
+	discoveryTime    = rtlimit.DiscoveryTime
 	assumedProcesses = 30
 	// catchUpDelay is how long a reader waits for the store to return the
 	// changes that a peer has, before it fetches them from that peer.
@@ -161,10 +162,13 @@
 
 	newPeer atomic.Bool // set when a peer becomes alive, so that the next digest lists the live peers
 
-	mu       sync.Mutex
-	peers    map[rtid.Address]*peer
-	cell     rtplacement.Cell
-	lastTick time.Time // last call of detectPause
+	mu    sync.Mutex
+	peers map[rtid.Address]*peer
+	cell  rtplacement.Cell
+	// heardRunning says that a peer was heard that has run for discoveryTime, and so
+	// uses its own part of shared limits.
+	heardRunning bool
+	lastTick     time.Time // last call of detectPause
 }
 
 // peer is the last reported state of another process.
@@ -296,12 +300,12 @@
 func (g *Group) BudgetShare(key string) rtlimit.Share {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	share := rtlimit.Share{Processes: g.budgetProcesses()}
-	share.Rank = share.Processes - 1
-	if time.Since(g.started) >= discoveryTime {
-		share.Rank = g.rank(key, time.Now())
+	rank, age := 0, time.Since(g.started)
+	if age >= discoveryTime {
+		rank = g.rank(key, time.Now())
 	}
-	return share
+	position := float64(designationHash(key, g.options.VM)) / math.MaxUint64
+	return rtlimit.StartShare(rank, g.budgetProcesses(), age, position, !g.heardRunning)
 }
 
 // rank returns how many known processes come before this one in the order that a
