Exchange refusals to help in digests

Cause: each gateway discovered a refusing engine by itself.

The receiver subtracts the delay of the digest, and drops entries that no process sends with one line a sender and minute.

--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -34,6 +34,7 @@
 	Evidence   []reportedEvidence           `json:"evidence,omitempty"`
 	Limits     []reportedLimit              `json:"limits,omitempty"`  // named by targets to the sender
 	Leaving    []rtid.TargetIncarnation     `json:"leaving,omitempty"` // at most maxReportedLeaves
+	Refusals   []reportedRefusal            `json:"-"`                 // at most maxReportedRefusals
 	Codec      int                          `json:"codec,omitempty"`   // latest encoding that the sender reads
 }
 
@@ -114,7 +115,7 @@
 
 // forOtherCells returns the digest without what concerns the targets of the cell.
 func (d digest) forOtherCells() digest {
-	d.Loads, d.Cooldowns = nil, nil
+	d.Loads, d.Cooldowns, d.Refusals = nil, nil, nil
 	return d
 }
 
@@ -166,6 +167,7 @@
 	message.Evidence = g.localEvidence()
 	message.Limits = g.localLimits()
 	message.Leaving = g.localLeaves()
+	message.Refusals = g.localRefusals()
 	return message
 }
 
@@ -293,6 +295,7 @@
 	}
 	g.mergeLimits(message.Limits, delay)
 	g.mergeLeaves(message.Leaving)
+	g.mergeRefusals(message.Refusals, message.VM, delay)
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -139,6 +139,7 @@
 	Evidence EvidenceExchange // nil for none
 	Limits   LimitExchange    // nil for none
 	Leaves   LeaveExchange    // nil for none
+	Refusals RefusalExchange  // nil for none
 	Log      logr.Logger
 	Scope    tally.Scope // nil for no metrics
 }
@@ -160,6 +161,8 @@
 
 	droppedLogs map[netip.Addr]time.Time // last line about a dropped message, by sender; used by receiveDigests only
 
+	refusalFindings map[rtid.VM]time.Time // last line about malformed refusals, by sender; used by receiveDigests only
+
 	newPeer atomic.Bool // set when a peer becomes alive, so that the next digest lists the live peers
 
 	mu    sync.Mutex
@@ -198,7 +201,8 @@
 		started:   time.Now(),
 		peers:     make(map[rtid.Address]*peer),
 
-		droppedLogs: make(map[netip.Addr]time.Time),
+		droppedLogs:     make(map[netip.Addr]time.Time),
+		refusalFindings: make(map[rtid.VM]time.Time),
 	}
 	group.traffic.scope = options.Scope
 	group.unsettle(group.started)
