--- a/internal/rtplacement/place.go
+++ b/internal/rtplacement/place.go
@@ -20,6 +20,9 @@
 	// HelperOnly says that it takes parts of the request but not the request: this process
 	// has used its part of the requests that a target may get in a second.
 	HelperOnly bool
+	// Refuses says that it has refused to help with prompts of others. It may still be a
+	// target.
+	Refuses bool
 }
 
 // PoolState is what a placement needs to know of the fleet besides its
@@ -103,7 +106,11 @@
 	border := min(pools.InteractiveEngines, len(sorted))
 	if work.Interactive() {
 		count := partCount(engine, work, interactivePart, len(sorted))
-		targets, helpers := split(notBlocked(sorted[:border]))
+		own := notBlocked(sorted[:border])
+		if count > 1 {
+			own = withoutRefusing(own)
+		}
+		targets, helpers := split(own)
 		preferred := append(slices.Clone(pools.sample(targets, count+1)), pools.sample(helpers, count-1)...)
 		otherTargets, _ := split(sorted[border:])
 		all := append(slices.Clone(preferred), pools.sample(otherTargets, 1)...)
@@ -117,6 +124,9 @@
 	// Parts of long prompts never go to engines of the interactive pool, unless
 	// there are no others, or no other may be the target.
 	long := longPool(sorted, border)
+	if partCount(engine, work, longPart, len(long)) > 1 {
+		long = withoutRefusing(long)
+	}
 	count := partCount(engine, work, longPart, len(long))
 	all := long
 	if PrefillTime(engine, work.Prompt, count) <= blockingPart {
--- a/internal/rtplacement/placement_test.go
+++ b/internal/rtplacement/placement_test.go
@@ -411,6 +411,40 @@
 	}
 }
 
+// Guards against parts for engines that refuse to help, and against reports of peers that
+// name so many that prompts are not split any more.
+func TestRefusingEnginesDoNotHelp(t *testing.T) {
+	tests := []struct {
+		name     string
+		work     Work
+		refusing int // of 40 engines, every other one first
+		used     bool
+	}{{"long, some", longWork, 10, false}, {"long, half", longWork, 20, false}, {"long, all", longWork, 40, true}, {"short, half", shortWork, 20, false}, {"short, all", shortWork, 40, true}}
+	for _, test := range tests {
+		candidates := idleEngines(40)
+		for i := range test.refusing {
+			at := 2 * i
+			if at >= len(candidates) {
+				at = at - len(candidates) + 1
+			}
+			candidates[at].Refuses = true
+		}
+		placement, ok := PlaceOnEngines(publishedCosts, test.work, candidates, PoolState{InteractiveEngines: 10, Gateways: 1})
+		if !ok {
+			t.Errorf("%s: not placed", test.name)
+		}
+		refusing := 0
+		for _, helper := range placement.Helpers {
+			if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Instance == helper && c.Refuses }) {
+				refusing++
+			}
+		}
+		if len(placement.Helpers) == 0 || (refusing > 0) != test.used {
+			t.Errorf("%s: %d of %d helpers refuse, want some: %v", test.name, refusing, len(placement.Helpers), test.used)
+		}
+	}
+}
+
 // Guards against a request that is sent to a target that takes only parts of it from
 // this process, and against parts that are kept from such targets: a large prompt needs
 // more engines than the parts of one of many gateways reach.
