--- a/internal/rtgateway/coldshare.go
+++ b/internal/rtgateway/coldshare.go
@@ -68,14 +68,19 @@
 	}
 }
 
-// waitForShare returns how much longer a request may wait for a target to which this
-// process's share of the cold rate allows no request yet. It reports false if that
-// takes longer than half of the abandon timeout, so that its caller can use the time at
-// another process.
+// waitForShare returns how much longer a request may wait that no target may receive.
+// It waits for a target to which this process's share of the cold rate allows no request
+// yet, but reports false and refuses the request if that takes longer than half of the
+// abandon timeout, so that its caller can use the time at another process.
 func (d *delivery) waitForShare(candidate scheduled, waited time.Duration) (time.Duration, bool) {
-	remaining := max(d.noTargetTimeout(), d.request.work.AbandonTimeout/2) - waited
+	remaining := d.noTargetTimeout() - waited
+	if candidate.shareWait == 0 {
+		return remaining, true
+	}
+	remaining = max(remaining, d.request.work.AbandonTimeout/2-waited)
 	if candidate.shareWait > remaining && len(candidate.places) == 0 && !d.headWritten {
 		d.gateway.metrics.Scope.Counter("share_refusals").Inc(1)
+		d.refusal = d.giveUpAfter(reasonNoShare, shareRetryDelay(candidate.shareWait))
 		return 0, false
 	}
 	if !d.waitedForShare {
--- a/internal/rtgateway/cooldown.go
+++ b/internal/rtgateway/cooldown.go
@@ -7,7 +7,6 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
-	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 )
 
 // cooldown says how long a target is not used after failures.
@@ -50,19 +49,6 @@
 	g.log.Info("Target avoided.", "target", target, "reason", reason, "failures", c.failures, "for", c.until.Sub(now).String())
 }
 
-// coolDownHelper starts the cooldown of the helper that a target has named, by
-// ID or address, as the reason of its refusal. It reports false if no helper
-// is named.
-func (g *Gateway) coolDownHelper(fault string, placement rtplacement.Placement) bool {
-	for _, helper := range placement.Helpers {
-		if fault != "" && (fault == string(helper.ID) || fault == string(helper.Address)) {
-			g.setCooldown(helper.ID, cooldown{until: time.Now().Add(helperCooldown), failures: 1, fixed: true}, "refuses to help")
-			return true
-		}
-	}
-	return false
-}
-
 // setCooldown replaces the cooldown of a target.
 func (g *Gateway) setCooldown(target rtid.Target, c cooldown, reason string) {
 	g.mu.Lock()
@@ -122,6 +108,7 @@
 	maps.DeleteFunc(g.born, func(target rtid.Target, _ rtid.Incarnation) bool { return view != nil && view.Instance(target) == nil })
 	g.forgetLimits(view, now)
 	g.forgetNotices(view, now)
+	g.helperRefusals.Forget(now)
 }
 
 // ApplyPeerCooldowns starts the cooldowns that a peer reports. It skips targets
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -21,6 +21,7 @@
 	failedResponse *storedResponse // for rtdelivery.Failed; nil if it must not be passed on
 	firstEvent     time.Duration   // from the send to the first event; 0 if there was none
 	longestGap     time.Duration   // between two events
+	replaced       string          // helper that the next attempt has in place of the one that refused, or that none takes its place
 	silent         bool            // the attempt was cancelled because its target had sent no part of an event
 	framing        string          // how the response says where its body ends; empty if there was none
 	events         int             // that were passed on to the caller
@@ -45,6 +46,9 @@
 	withoutMemory  []rtid.Target   // engines that have refused memory for the prompt or not answered
 	scheduled      scheduled       // of the current attempt
 	successor      *scheduled      // reserved for the next attempt, its retry is taken; nil for none
+	replaced       *scheduled      // the current attempt with another helper, for the next attempt; nil for none
+	held           *heldMemory     // for the current attempt and those that replace its helpers; nil for none
+	moves          int             // of memory to another engine, because a helper refused
 	refusal        *refusal        // why no target was selected; nil if the caller has disconnected
 	lastDetail     string          // detail of the last attempt
 	failedResponse *storedResponse // of the last failed attempt that has one; nil for none
@@ -110,6 +114,7 @@
 func (d *delivery) run(ctx context.Context) *refusal {
 	d.gateway.countRequest(d.request.service.Name)
 	defer d.dropSuccessor()
+	defer d.dropReplaced()
 	defer d.dropFailedResponse()
 	switch reason := d.attempts.Run(ctx, d); reason {
 	case rtdelivery.Answered:
@@ -154,7 +159,7 @@
 	if !d.partsAllowed() {
 		return false
 	}
-	if next, ok := d.takeSuccessor(); ok {
+	if next, ok := d.takeNext(); ok {
 		d.scheduled = next
 		d.tried = append(d.tried, next.Target.ID)
 		return true
@@ -177,12 +182,9 @@
 				d.refusal = d.giveUpAfter(reasonBackoff, backoffDelay(candidate.backoff, d.maxRetryDelay()))
 				return false
 			}
-			remaining := d.noTargetTimeout() - work.Waited
-			if candidate.shareWait > 0 {
-				if remaining, ok = d.waitForShare(candidate, work.Waited); !ok {
-					d.refusal = d.giveUpAfter(reasonNoShare, shareRetryDelay(candidate.shareWait))
-					return false
-				}
+			remaining, ok := d.waitForShare(candidate, work.Waited)
+			if !ok {
+				return false
 			}
 			if len(candidate.places) > 0 && !d.waitForPlace(candidate.places, remaining) {
 				d.refusal = d.giveUpAfter(reasonRateLimit, candidate.places.retryAfter())
@@ -250,7 +252,9 @@
 func (d *delivery) Attempt(ctx context.Context) rtdelivery.AttemptOutcome {
 	sent, after := time.Now(), d.lastEventID
 	attempted := d.send(ctx, d.scheduled.Placement, d.scheduled.inFlight)
-	d.gateway.finish(d.scheduled.inFlight)
+	if d.replaced == nil {
+		d.gateway.finish(d.scheduled.inFlight)
+	}
 	d.logAttempt(d.scheduled, attempted, sent, after)
 	d.lastDetail = attempted.detail
 	switch attempted.outcome {
@@ -385,7 +389,7 @@
 		"target", s.Target.ID, "prompt", d.request.work.Prompt,
 		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(),
 		"backlog", s.LongPool.PrefillBacklog.String(),
-		"outcome", r.outcome.String(), "detail", r.detail, "begun", d.headWritten,
+		"outcome", r.outcome.String(), "detail", r.detail, "replaced", r.replaced, "begun", d.headWritten,
 		"framing", r.framing, "from", after, "event", d.lastEventID, "events", r.events,
 		"first", r.firstEvent.String(), "pause", r.longestGap.String(), "revision", d.request.view.Revision.String(),
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String())
@@ -404,14 +408,11 @@
 	d.answerProven = false
 	guard := d.startWatchdog(placement.Target.ID, cancel)
 	defer guard.stop()
-	reserved, err := d.reserve(ctx, placement, inFlight)
+	reserved, err := d.holdMemory(ctx, placement, inFlight)
 	if err != nil {
 		return result{outcome: d.unreservedOutcome(ctx), detail: err.Error()}
 	}
-	defer d.release(reserved)
-	if renewal := d.renew(reserved); renewal != nil {
-		defer func() { _ = renewal.Stop() }() // it logs its errors itself
-	}
+	defer d.releaseUnlessReplaced()
 	if len(reserved) > 0 {
 		// Reserving memory takes some time, in which a target may have announced that
 		// it takes no requests.
@@ -438,8 +439,8 @@
 		return result{outcome: rtdelivery.Lost, detail: fmt.Sprintf("response with status %d has the id of another request", response.Status)}
 	case !own && !info.NotRun:
 		return result{outcome: rtdelivery.Lost, detail: "response has no request id"}
-	case info.NotRun && d.gateway.coolDownHelper(info.Fault, placement):
-		return result{outcome: rtdelivery.HelperRefused, detail: "refused because of helper " + info.Fault}
+	case info.NotRun && d.helperAtFault(info.Fault, placement) != nil:
+		return d.helperRefused(ctx, d.helperAtFault(info.Fault, placement), placement, inFlight, guard, sent)
 	case info.NotRun && response.Status == http.StatusMisdirectedRequest:
 		d.gateway.excludeReplaced(placement.Target.ID)
 		return result{outcome: rtdelivery.WrongTarget, detail: "another target has the address"}
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeature"
+	"github.com/rhubarbtally/rhubarbtally/internal/rthelper"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
@@ -122,6 +123,8 @@
 	leaves       rtnotice.Leaves
 	backoffs     rtnotice.Backoffs
 
+	helperRefusals rthelper.Refusals
+
 	noticeFindings, backoffLogs lineLimiter
 }
 
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -144,6 +144,7 @@
 			TieBreak:   rand.Uint32(),
 			Limited:    limited,
 			HelperOnly: helperOnly,
+			Refuses:    g.helperRefusals.Refused(instance.Incarnation(), now),
 		}
 		if instance.Zone != g.settings.Zone {
 			candidate.RoundTrip = zoneRoundTrip
--- a/internal/rtgateway/reservation.go
+++ b/internal/rtgateway/reservation.go
@@ -103,7 +103,12 @@
 	}
 	// Commands may count against a rate limit.
 	candidates = slices.DeleteFunc(candidates, func(c rtplacement.Candidate) bool { return c.Limited })
-	planned, ok := rtplacement.PlanReservations(q.service.Engine, q.work, placement, candidates)
+	// The engine that holds memory prefills a part.
+	taking := slices.DeleteFunc(slices.Clone(candidates), func(c rtplacement.Candidate) bool { return c.Refuses })
+	planned, ok := rtplacement.PlanReservations(q.service.Engine, q.work, placement, taking)
+	if !ok {
+		planned, ok = rtplacement.PlanReservations(q.service.Engine, q.work, placement, candidates)
+	}
 	if !ok {
 		return nil, errTooLittleMemory
 	}
