--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeature"
+	"github.com/rhubarbtally/rhubarbtally/internal/rthelper"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
@@ -123,7 +124,8 @@
 	leaves       rtnotice.Leaves
 	backoffs     rtnotice.Backoffs
 
-	outliers rtoutlier.Tracker
+	outliers       rtoutlier.Tracker
+	helperRefusals rthelper.Refusals
 
 	noticeFindings, backoffLogs, outlierLogs lineLimiter
 }
--- a/internal/rtpeer/codec.go
+++ b/internal/rtpeer/codec.go
@@ -108,6 +108,7 @@
 		w.Leaving = append(w.Leaving, wireStart(target))
 	}
 	w.Outcomes = wireOutcomes(d.Outcomes)
+	w.Refusals = wireRefusals(d.Refusals)
 	return w, nil
 }
 
@@ -139,6 +140,7 @@
 		d.Leaving = append(d.Leaving, startFrom(target))
 	}
 	d.Outcomes = outcomesFrom(w.GetOutcomes())
+	d.Refusals = refusalsFrom(w.GetRefusals())
 	return d
 }
 
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -36,6 +36,7 @@
 	Limits     []reportedLimit              `json:"limits,omitempty"`  // named by targets to the sender
 	Leaving    []rtid.TargetIncarnation     `json:"leaving,omitempty"` // at most maxReportedLeaves
 	Outcomes   []rtoutlier.Report           `json:"-"`                 // in the binary encoding only
+	Refusals   []reportedRefusal            `json:"-"`                 // at most maxReportedRefusals
 	Codec      int                          `json:"codec,omitempty"`   // latest encoding that the sender reads
 }
 
@@ -116,7 +117,7 @@
 
 // forOtherCells returns the digest without what concerns the targets of the cell.
 func (d digest) forOtherCells() digest {
-	d.Loads, d.Cooldowns, d.Outcomes = nil, nil, nil
+	d.Loads, d.Cooldowns, d.Outcomes, d.Refusals = nil, nil, nil, nil
 	return d
 }
 
@@ -169,6 +170,7 @@
 	message.Limits = g.localLimits()
 	message.Leaving = g.localLeaves()
 	message.Outcomes = g.localOutcomes()
+	message.Refusals = g.localRefusals()
 	return message
 }
 
@@ -297,6 +299,7 @@
 	g.mergeLimits(message.Limits, delay)
 	g.mergeLeaves(message.Leaving)
 	g.setOutcomes(message.VM, message.Outcomes)
+	g.mergeRefusals(message.Refusals, message.VM, delay)
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -311,6 +314,9 @@
 	p.vm, p.lastDigest, p.revision, p.storeContact = message.VM, now, message.StoreRevision, time.Time{}
 	p.version, p.kept = message.Version, message.Kept
 	p.binary = message.Codec >= binaryCodec
+	if message.Sent >= discoveryTime.Milliseconds() {
+		g.heardRunning = true
+	}
 	if message.ContactAge != unknownAge {
 		p.storeContact = now.Add(-time.Duration(message.ContactAge) * time.Millisecond)
 	}
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -108,6 +108,7 @@
 		Limits:   process.gateway,
 		Leaves:   process.gateway,
 		Outcomes: process.gateway,
+		Refusals: process.gateway,
 		Log:      log,
 		Scope:    metrics.Scope,
 	})
