Predict the first event by passes where a Forecaster is set

place leaves out passes that an engine makes before the first event: it counts half of the current pass, the backlog and the part, and a last pass for a single request. In the engines of the model the pass that prefills also decodes for all running requests, the last pass decodes for the other requests of the target, and where other engines prefill parts the last of them ends in the middle of a pass of the target.

The Scheduler has an optional Forecaster. The Forecaster then corrects it; Admit judges "in time" by the corrected median, and refuses by the optimistic end of the spread. Where requests are placed does not change. Without one, no decision and no prediction changes.

--- a/internal/rtmodel/engine.go
+++ b/internal/rtmodel/engine.go
@@ -46,6 +46,8 @@
 	target          *engine
 	inFlight        *rtplacement.InFlightRequest
 	partCount       int // engines that prefill the prompt
+	placement       rtplacement.Placement
+	placedAt        time.Duration // when it was sent to its engines, since the start of the run
 	sent            bool
 	firstEvent      time.Duration // from arrival to the first event
 	lastEventAt     time.Duration
@@ -102,8 +104,9 @@
 }
 
 // endPass ends the current pass. It returns the requests whose prompts are
-// completely prefilled, and those that have ended.
-func (e *engine) endPass(now time.Duration) (prefilled, ended []*request) {
+// completely prefilled, those that have sent their first event, and those that have
+// ended.
+func (e *engine) endPass(now time.Duration) (prefilled, began, ended []*request) {
 	for _, p := range e.prefilling {
 		p.request.pendingParts--
 		if p.request.pendingParts == 0 {
@@ -113,6 +116,9 @@
 	e.prefilling = nil
 	remaining := e.decoding[:0]
 	for _, r := range e.decoding {
+		if r.firstEvent == 0 {
+			began = append(began, r)
+		}
 		r.recordEvent(now)
 		if r.ended {
 			ended = append(ended, r)
@@ -121,7 +127,7 @@
 		}
 	}
 	e.decoding = remaining
-	return prefilled, ended
+	return prefilled, began, ended
 }
 
 // recordEvent records one event of the answer.
--- a/internal/rtmodel/run.go
+++ b/internal/rtmodel/run.go
@@ -60,6 +60,12 @@
 		now time.Time) (rtplacement.Placement, rtplacement.Decision, time.Duration)
 }
 
+// Observer is a Policy that learns from the first events of requests.
+type Observer interface {
+	// Observe reports the time from the send of a request to its first event.
+	Observe(work rtplacement.Work, placement rtplacement.Placement, firstEvent time.Duration, now time.Time)
+}
+
 // Result is the result for the requests of one kind.
 type Result struct {
 	Kind            string
@@ -277,6 +283,7 @@
 		s.schedule(s.now+admitInterval, func() { s.decide(q) })
 	default:
 		q.inFlight = gateway.loads.Start(placement, work, now)
+		q.placement, q.placedAt = placement, s.now
 		for _, e := range s.engines {
 			if e.instance == placement.Target {
 				gateway.sendsTo(e).Add(now)
@@ -347,7 +354,10 @@
 		return
 	}
 	s.schedule(s.now+duration, func() {
-		prefilled, ended := e.endPass(s.now)
+		prefilled, began, ended := e.endPass(s.now)
+		for _, q := range began {
+			s.observe(q)
+		}
 		for _, q := range prefilled {
 			s.startDecoding(q)
 		}
@@ -359,6 +369,13 @@
 	})
 }
 
+// observe tells the policy of a request's gateway of its first event.
+func (s *simulation) observe(q *request) {
+	if observer, ok := s.gateways[q.gateway].policy.(Observer); ok {
+		observer.Observe(q.work, q.placement, s.now-q.placedAt, epoch.Add(s.now))
+	}
+}
+
 // startDecoding starts the decoding of a request whose prompt is prefilled.
 func (s *simulation) startDecoding(q *request) {
 	if q.ended {
--- a/internal/rtplacement/admit.go
+++ b/internal/rtplacement/admit.go
@@ -76,7 +76,7 @@
 func admitNew(work Work, placement Placement, pool LongPoolLoad) Decision {
 	remaining := work.AbandonTimeout - work.Waited
 	switch {
-	case placement.PredictedFirstEvent > remaining:
+	case placement.earliestFirstEvent() > remaining:
 		return Refuse
 	case work.Interactive() || work.LatencySLO <= 0:
 		return Send
@@ -87,7 +87,7 @@
 	// An engine prefills its whole backlog in its next pass. A part that is long
 	// itself only fits engines with a small backlog.
 	backlogged := pool.PrefillBacklog > max(maxLongPass-decodeOnlyPass-placement.PartPrefill, negligibleBacklog)
-	inTime := work.Waited+placement.PredictedFirstEvent <= budget
+	inTime := work.Waited+placement.firstEvent() <= budget
 	switch {
 	case inTime && !backlogged:
 		return Send
--- a/internal/rtplacement/place.go
+++ b/internal/rtplacement/place.go
@@ -37,6 +37,12 @@
 	PartPrefill         time.Duration         // predicted prefill time at each of these targets
 	PrefillBacklog      time.Duration         // of other requests at them, mean
 	Requests            float64               // in flight at them, mean
+
+	// Corrected is the first event as corrected by what was observed, from now; 0 without
+	// a Forecaster.
+	Corrected         time.Duration
+	optimistic        time.Duration // the optimistic end of its spread; 0 without a Forecaster
+	predictedByPasses time.Duration // PredictedFirstEvent of placements with a Forecaster
 }
 
 const (
@@ -252,6 +258,7 @@
 		Requests:            float64(total.Requests) / float64(count),
 		PredictedFirstEvent: longest + partPrefill + DecodePassTime(engine, Load{Requests: 1, Context: work.Prompt / rtid.Tokens(count)}),
 	}
+	placement.predictedByPasses = predictByPasses(engine, work, chosen, target, partPrefill)
 	for i, c := range chosen {
 		if i != target {
 			placement.Helpers = append(placement.Helpers, c.Instance)
--- a/internal/rtplacement/scheduler.go
+++ b/internal/rtplacement/scheduler.go
@@ -9,6 +9,9 @@
 // Scheduler places the requests of one engine service. The zero value is ready
 // to use. It is not safe for concurrent use.
 type Scheduler struct {
+	// Forecaster corrects the predictions; nil for none. It may be replaced at any time.
+	Forecaster Forecaster
+
 	pools PoolSizer
 }
 
@@ -33,5 +36,8 @@
 	if !ok {
 		return ScheduleResult{}, false
 	}
+	if s.Forecaster != nil {
+		placement = placement.forecast(work, s.Forecaster, now)
+	}
 	return ScheduleResult{Placement: placement, Decision: Admit(work, placement, pool), LongPool: pool}, true
 }
