Exchange the errors of predictions in digests

Digests carry up to 16 figures of the sender's own samples, in the binary encoding only and only to the own cell. Every fourth digest has them, which is each 3 s in a large cell: in each digest 16 figures could take more than the 17 KB/s of all control traffic. A digest without figures says nothing. Malformed figures are dropped with one line a sender and minute; the rest of the digest is followed.

--- a/internal/rtpeer/codec.go
+++ b/internal/rtpeer/codec.go
@@ -107,6 +107,7 @@
 	for _, target := range d.Leaving {
 		w.Leaving = append(w.Leaving, wireStart(target))
 	}
+	w.Forecasts = wireForecasts(d.Forecasts)
 	return w, nil
 }
 
@@ -137,6 +138,7 @@
 	for _, target := range w.GetLeaving() {
 		d.Leaving = append(d.Leaving, startFrom(target))
 	}
+	d.Forecasts = forecastsFrom(w.GetForecasts())
 	return d
 }
 
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtforecast"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
@@ -34,6 +35,7 @@
 	Evidence   []reportedEvidence           `json:"evidence,omitempty"`
 	Limits     []reportedLimit              `json:"limits,omitempty"`  // named by targets to the sender
 	Leaving    []rtid.TargetIncarnation     `json:"leaving,omitempty"` // at most maxReportedLeaves
+	Forecasts  []rtforecast.Figure          `json:"-"`                 // at most rtforecast.MaxFigures; sent in the binary encoding only
 	Codec      int                          `json:"codec,omitempty"`   // latest encoding that the sender reads
 }
 
@@ -83,6 +85,7 @@
 		}
 		ownCell, otherCells := g.peerAddresses()
 		message := g.newDigest(g.listedNow(round))
+		message.Forecasts = g.localForecasts(round)
 		g.sendTo(socket, ownCell, message, kind)
 		if round%roundsToOtherCells(len(otherCells)) == 0 && len(otherCells) > 0 {
 			g.sendTo(socket, otherCells, message.forOtherCells(), otherCellDigest)
@@ -114,7 +117,7 @@
 
 // forOtherCells returns the digest without what concerns the targets of the cell.
 func (d digest) forOtherCells() digest {
-	d.Loads, d.Cooldowns = nil, nil
+	d.Loads, d.Cooldowns, d.Forecasts = nil, nil, nil
 	return d
 }
 
@@ -229,12 +232,18 @@
 
 // logDropped logs that a message was dropped.
 func (g *Group) logDropped(sender netip.Addr, err error, now time.Time) {
+	g.logOnce(sender, "Digest dropped.", err, now)
+}
+
+// logOnce logs what is wrong with a message, unless dropLogInterval has not passed since
+// the last line about its sender.
+func (g *Group) logOnce(sender netip.Addr, line string, err error, now time.Time) {
 	maps.DeleteFunc(g.droppedLogs, func(_ netip.Addr, last time.Time) bool { return now.Sub(last) >= dropLogInterval })
 	if _, quiet := g.droppedLogs[sender]; quiet || len(g.droppedLogs) >= maxDropSenders {
 		return
 	}
 	g.droppedLogs[sender] = now
-	g.log.Info("Digest dropped.", "sender", sender.String(), "error", fmt.Sprintf("%.200s", err))
+	g.log.Info(line, "sender", sender.String(), "error", fmt.Sprintf("%.200s", err))
 }
 
 // receiveDigests receives and applies digests until the socket is closed. It
@@ -293,6 +302,7 @@
 	}
 	g.mergeLimits(message.Limits, delay)
 	g.mergeLeaves(message.Leaving)
+	g.mergeForecasts(message, delay)
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rtpeer/malformed_test.go
+++ b/internal/rtpeer/malformed_test.go
@@ -117,6 +117,7 @@
 	sound, err := encodeDigest(digest{
 		VM: "vm1", Address: addressOf(1), Sent: 5, Loads: map[rtid.Target]reportedLoad{"i-1": {1, 2, 3, 4, 5}},
 		Evidence: []reportedEvidence{{Part: "a", Crashes: reportedCrashes{"i-1": {5}}}}, Limits: []reportedLimit{{Rate: 1}},
+		Forecasts: figures(2),
 	}, binaryCodec)
 	if err != nil {
 		f.Fatal(err)
@@ -131,6 +132,7 @@
 		g, loads := newTestGroup()
 		r := &registers{}
 		g.options.Evidence, g.options.Limits, g.options.Leaves = r, r, r
+		g.options.Forecasts = &forecastRegister{}
 		g.applyDigest(message)
 		g.assignCells(time.Now())
 		for codec := range binaryCodec + 1 {
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -129,17 +129,18 @@
 
 // Options are the settings and dependencies of a group.
 type Options struct {
-	VM       rtid.VM
-	Address  rtid.Address // own address for UDP and HTTP between processes
-	Seeds    []rtid.Address
-	Network  rtnet.Network
-	Feed     *rtfeed.Feed
-	Loads    LoadExchange
-	Evidence EvidenceExchange // nil for none
-	Limits   LimitExchange    // nil for none
-	Leaves   LeaveExchange    // nil for none
-	Log      logr.Logger
-	Scope    tally.Scope // nil for no metrics
+	VM        rtid.VM
+	Address   rtid.Address // own address for UDP and HTTP between processes
+	Seeds     []rtid.Address
+	Network   rtnet.Network
+	Feed      *rtfeed.Feed
+	Loads     LoadExchange
+	Evidence  EvidenceExchange // nil for none
+	Limits    LimitExchange    // nil for none
+	Leaves    LeaveExchange
+	Forecasts ForecastExchange // nil for none
+	Log       logr.Logger
+	Scope     tally.Scope // nil for no metrics
 }
 
 // Group tracks the processes of the deployment that this one knows.
