Correct predictions of the first event in the gateway

Where the feature prediction holds, the gateway sets the Forecaster of its schedulers, learns from the first event of each attempt, and exchanges what it has learned. Continuations, attempts that needed memory at other engines or had a cold engine, and those without a first event are left out. Sent. has the field corrected beside predicted, and the histogram first_event_ratio has actual over forecast time before and after the correction. Without the feature nothing is learned and the prediction is that of before.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -57,6 +57,7 @@
 	endAfterEvents bool            // that target had sent events before
 	answerProven   bool            // the target of the current attempt lived on after its first event
 	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
+	memoryAwaited  bool            // the current attempt needed memory at other engines
 	probe          bool            // it shows whether a part in quarantine still crashes targets
 }
 
@@ -376,7 +377,7 @@
 func (d *delivery) logAttempt(s scheduled, r result, sent time.Time, after string) {
 	d.gateway.log.Info("Sent.", "request", d.request.info.ID, "route", d.request.route.Name,
 		"target", s.Target.ID, "prompt", d.request.work.Prompt,
-		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(),
+		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(), "corrected", s.Corrected.String(),
 		"backlog", s.LongPool.PrefillBacklog.String(),
 		"outcome", r.outcome.String(), "detail", r.detail, "begun", d.headWritten,
 		"framing", r.framing, "from", after, "event", d.lastEventID, "events", r.events,
@@ -402,6 +403,7 @@
 		return result{outcome: d.unreservedOutcome(ctx), detail: err.Error()}
 	}
 	defer d.release(reserved)
+	d.memoryAwaited = len(reserved) > 0
 	if renewal := d.renew(reserved); renewal != nil {
 		defer func() { _ = renewal.Stop() }() // it logs its errors itself
 	}
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeature"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtforecast"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
@@ -121,6 +122,7 @@
 	limitWaiting map[rtid.Service]int // requests that wait for a place at a limited target
 	leaves       rtnotice.Leaves
 	backoffs     rtnotice.Backoffs
+	forecasts    rtforecast.Estimator
 
 	noticeFindings, backoffLogs lineLimiter
 }
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -59,7 +59,7 @@
 	}
 	var ok bool
 	if q.service.Engine != nil {
-		placed.ScheduleResult, ok = g.schedulerOf(q.service.Name).Decide(q.service.Engine, work, candidates, g.peers.LiveInCell(), now)
+		placed.ScheduleResult, ok = g.forecastingScheduler(view, q.service.Name).Decide(q.service.Engine, work, candidates, g.peers.LiveInCell(), now)
 	} else {
 		placed.Placement, ok = rtplacement.PlaceOnService(candidates)
 	}
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -215,6 +215,7 @@
 	r.delivery.lastEventAt = now
 	if r.firstEvent == 0 {
 		r.firstEvent = gap
+		r.delivery.observeFirstEvent(gap)
 		return
 	}
 	r.proveParts()
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -98,17 +98,18 @@
 		OnNews:  func() { process.group.TriggerDigest() },
 	})
 	process.group = rtpeer.New(rtpeer.Options{
-		VM:       settings.Gateway.VM,
-		Address:  settings.PeerAddress,
-		Seeds:    settings.Seeds,
-		Network:  network,
-		Feed:     process.feed,
-		Loads:    process.gateway,
-		Evidence: process.gateway,
-		Limits:   process.gateway,
-		Leaves:   process.gateway,
-		Log:      log,
-		Scope:    metrics.Scope,
+		VM:        settings.Gateway.VM,
+		Address:   settings.PeerAddress,
+		Seeds:     settings.Seeds,
+		Network:   network,
+		Feed:      process.feed,
+		Loads:     process.gateway,
+		Evidence:  process.gateway,
+		Limits:    process.gateway,
+		Leaves:    process.gateway,
+		Forecasts: process.gateway,
+		Log:       log,
+		Scope:     metrics.Scope,
 	})
 	peers.Group = process.group
 	return process
