Let a figure of a peer count for eight samples at most

With 32 samples, a single false figure moved the median among ten peers with one sound sample each from 1 to 5.13. A process with 0.2 requests a second has four samples of all kinds within 20 s, so eight lose nothing.

--- a/internal/rtforecast/estimator.go
+++ b/internal/rtforecast/estimator.go
@@ -45,9 +45,10 @@
 	MaxFigures = 16
 	// maxPeers is how many peers count at most: more than a cell has.
 	maxPeers = 128
-	// maxPeerSamples is how many samples a figure of a peer counts for at most: eight
-	// times what a process sends of all kinds in sampleAge.
-	maxPeerSamples = 32
+	// maxPeerSamples is how many samples a figure of a peer counts for at most: twice
+	// what a process of the first deployment sends of all kinds in sampleAge. A false
+	// figure then weighs no more than the sound ones of two peers.
+	maxPeerSamples = 8
 	// maxServiceName is the longest name of a service in bytes that is taken for one.
 	maxServiceName = 200
 )
--- a/internal/rtforecast/estimator_test.go
+++ b/internal/rtforecast/estimator_test.go
@@ -71,6 +71,9 @@
 		{"far too fast", observe(0.01, 0.01, 0.01, 0.01, 0.01, 0.01, 0.01, 0.01), 0, minRatio, 0.7},
 		{"peer with an impossible ratio", hear(1, 5, 80), 0, 1, 1},
 		{"peer without a number", hear(1, 5, math.NaN()), 0, 1, 1},
+		{"one false peer among few true ones", both(hear(10, 1, 0), func(e *Estimator) {
+			e.Merge("false", []Figure{{Band: longBand, Samples: maxSamples, Ratio: math.Log(maxRatio)}}, epoch, epoch)
+		}), 0, 1, 1},
 		{"one false peer among true ones", both(hear(40, 2, 0), func(e *Estimator) {
 			e.Merge("false", []Figure{{Band: longBand, Samples: maxSamples, Ratio: math.Log(maxRatio)}}, epoch, epoch)
 		}), 0, 1, 1},
