Say in refusals what a prediction was corrected to

The detail of an overloaded refusal named the prediction, which can be in time where the optimistic end of the corrected one is not. It now has the corrected time, too, where predictions are corrected.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -319,8 +319,8 @@
 func (d *delivery) refuseOverload(s scheduled) *refusal {
 	refused := d.giveUpAfter("overloaded", rtplacement.RetryAfter(s.Placement, s.LongPool))
 	if refused != nil {
-		refused.detail = fmt.Sprintf("first event predicted after %v, %d parts of %v, backlog %v and %.1f requests at their targets; long pool %d of %d targets, backlog %v",
-			s.PredictedFirstEvent, 1+len(s.Helpers), s.PartPrefill, s.PrefillBacklog, s.Requests,
+		refused.detail = fmt.Sprintf("first event predicted after %s, %d parts of %v, backlog %v and %.1f requests at their targets; long pool %d of %d targets, backlog %v",
+			s.forecastDetail(), 1+len(s.Helpers), s.PartPrefill, s.PrefillBacklog, s.Requests,
 			s.LongPool.Size, s.LongPool.Engines, s.LongPool.PrefillBacklog)
 	}
 	return refused
--- a/internal/rtgateway/forecast.go
+++ b/internal/rtgateway/forecast.go
@@ -1,6 +1,7 @@
 package rtgateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -42,6 +43,14 @@
 	g.recordForecast("corrected", actual, s.Corrected)
 }
 
+// forecastDetail returns the predicted first event, and the corrected one if there is one.
+func (s scheduled) forecastDetail() string {
+	if s.Corrected <= 0 {
+		return s.PredictedFirstEvent.String()
+	}
+	return fmt.Sprintf("%v, corrected to %v", s.PredictedFirstEvent, s.Corrected)
+}
+
 // coldPlacement reports whether an engine of a placement said at last that it is cold.
 func coldPlacement(p rtplacement.Placement) bool {
 	if p.Target.ColdRemaining > 0 {
--- a/internal/rtgateway/forecast_test.go
+++ b/internal/rtgateway/forecast_test.go
@@ -168,6 +168,9 @@
 		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || got.took > 10*time.Millisecond || len(b.allRuns()) != 0 {
 			t.Errorf("got status %d after %v and %d runs, want 503 at once and none", got.status, got.took, len(b.allRuns()))
 		}
+		if len(b.logged(", corrected to ")) != 1 {
+			t.Error("the refusal does not say what the prediction was corrected to")
+		}
 		if got := b.call(http.MethodPost, "/stream/x", headers("id-2", "Size", "20000"), ""); got.status != http.StatusOK {
 			t.Errorf("a prompt of another band: got status %d, want 200", got.status)
 		}
