--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -62,6 +62,7 @@
 	answerProven   bool            // the target of the current attempt lived on after its first event
 	waitedForShare bool            // it has waited for a share of the cold rate of a target
 	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
+	memoryAwaited  bool            // the current attempt needed memory at other engines
 	probe          bool            // it shows whether a part in quarantine still crashes targets
 }
 
@@ -330,8 +331,8 @@
 func (d *delivery) refuseOverload(s scheduled) *refusal {
 	refused := d.giveUpAfter("overloaded", rtplacement.RetryAfter(s.Placement, s.LongPool))
 	if refused != nil {
-		refused.detail = fmt.Sprintf("first event predicted after %v, %d parts of %v, backlog %v and %.1f requests at their targets; long pool %d of %d targets, backlog %v",
-			s.PredictedFirstEvent, 1+len(s.Helpers), s.PartPrefill, s.PrefillBacklog, s.Requests,
+		refused.detail = fmt.Sprintf("first event predicted after %s, %d parts of %v, backlog %v and %.1f requests at their targets; long pool %d of %d targets, backlog %v",
+			s.forecastDetail(), 1+len(s.Helpers), s.PartPrefill, s.PrefillBacklog, s.Requests,
 			s.LongPool.Size, s.LongPool.Engines, s.LongPool.PrefillBacklog)
 	}
 	return refused
@@ -388,7 +389,7 @@
 func (d *delivery) logAttempt(s scheduled, r result, sent time.Time, after string) {
 	d.gateway.log.Info("Sent.", "request", d.request.info.ID, "route", d.request.route.Name,
 		"target", s.Target.ID, "prompt", d.request.work.Prompt,
-		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(),
+		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(), "corrected", s.Corrected.String(),
 		"backlog", s.LongPool.PrefillBacklog.String(),
 		"outcome", r.outcome.String(), "detail", r.detail, "replaced", r.replaced, "begun", d.headWritten,
 		"framing", r.framing, "from", after, "event", d.lastEventID, "events", r.events,
@@ -414,6 +415,7 @@
 		return result{outcome: d.unreservedOutcome(ctx), detail: err.Error()}
 	}
 	defer d.releaseUnlessReplaced()
+	d.memoryAwaited = len(reserved) > 0
 	if len(reserved) > 0 {
 		// Reserving memory takes some time, in which a target may have announced that
 		// it takes no requests.
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeature"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtforecast"
 	"github.com/rhubarbtally/rhubarbtally/internal/rthelper"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
@@ -123,6 +124,7 @@
 	limitWaiting map[rtid.Service]int // requests that wait for a place at a limited target
 	leaves       rtnotice.Leaves
 	backoffs     rtnotice.Backoffs
+	forecasts    rtforecast.Estimator
 
 	outliers       rtoutlier.Tracker
 	helperRefusals rthelper.Refusals
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -216,6 +216,7 @@
 	if r.firstEvent == 0 {
 		r.firstEvent = gap
 		r.delivery.recordHelp(now.Add(-gap), now)
+		r.delivery.observeFirstEvent(gap)
 		return
 	}
 	r.proveParts()
--- a/internal/rtpeer/codec.go
+++ b/internal/rtpeer/codec.go
@@ -109,6 +109,7 @@
 	}
 	w.Outcomes = wireOutcomes(d.Outcomes)
 	w.Refusals = wireRefusals(d.Refusals)
+	w.Forecasts = wireForecasts(d.Forecasts)
 	return w, nil
 }
 
@@ -141,6 +142,7 @@
 	}
 	d.Outcomes = outcomesFrom(w.GetOutcomes())
 	d.Refusals = refusalsFrom(w.GetRefusals())
+	d.Forecasts = forecastsFrom(w.GetForecasts())
 	return d
 }
 
