Bound what callers may use before their requests are sent

Cause: each body was read whole with io.ReadAll, which doubles its buffer, and counted nowhere; headers were bounded to 1 MiB each, which many short fields turn into a multiple; connections were not bounded at all. A crowd of 48 callers took a process to 431 MiB with bodies and one of 120 to 853 MiB with headers; the smallest VM has 136 MB.

Change: package rtintake decides over all requests of the process, without sockets and clock: a budget of 0.22 of limits.memoryMb for bodies and headers, drawn as bytes arrive, and a bound of connections from memory and limits.maxFds (new). What gives way: bodies that have stalled for 1 s, then those below 128 KiB/s, then the newest of the holder (organisation, address) that holds most; for connections idle ones, then unfinished headers, then stalled requests and unread responses past their deadline. Only requests that have not been sent are refused with 503. Bodies are kept in pieces that are sent without a copy. Long responses get 0.125 of the memory, at most 32 MiB as before. Without limits in the settings nothing is bounded.

--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -49,6 +49,16 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	Pieces [][]byte // of the body, after Body; they are sent without a copy
+}
+
+// size returns the length of the body.
+func (m *Message) size() int {
+	size := len(m.Body)
+	for _, piece := range m.Pieces {
+		size += len(piece)
+	}
+	return size
 }
 
 // Response is a response whose header has been received. The caller reads Body
@@ -171,8 +181,8 @@
 		}
 	}
 	header := m.Header
-	if len(m.Body) > 0 || sendsContentLength(m.Method) {
-		header.Set("Content-Length", strconv.Itoa(len(m.Body)))
+	if size := m.size(); size > 0 || sendsContentLength(m.Method) {
+		header.Set("Content-Length", strconv.Itoa(size))
 	}
 	if err := header.Write(w); err != nil {
 		return err
@@ -183,6 +193,11 @@
 	if _, err := w.Write(m.Body); err != nil {
 		return err
 	}
+	for _, piece := range m.Pieces {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+	}
 	return w.Flush()
 }
 
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -505,7 +505,7 @@
 		Path:   q.r.RequestURI,
 		Host:   q.r.Host,
 		Header: header,
-		Body:   q.body,
+		Pieces: q.body,
 	}
 }
 
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeature"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtintake"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
@@ -33,6 +34,7 @@
 	Metrics   rtid.Address
 	Bounds    Bounds
 	Features  rtfeature.Settings // that hold where the configuration calls for them
+	Intake    rtintake.Limits    // on what callers may use; the zero value bounds nothing
 }
 
 // Bounds are published limits. Those on retries and on cold targets hold for all
@@ -103,6 +105,7 @@
 
 	background background
 	bodies     *rtexchange.Budget // memory of long responses and events
+	intake     *intake
 
 	mu           sync.Mutex
 	bounds       Bounds
@@ -138,7 +141,8 @@
 		dialect:      dependencies.Dialect,
 		views:        dependencies.Views,
 		peers:        dependencies.Peers,
-		bodies:       rtexchange.NewBudget(maxResponseMemory),
+		bodies:       rtexchange.NewBudget(responseMemory(settings.Intake)),
+		intake:       newIntake(settings.Intake, dependencies.Log, dependencies.Metrics),
 		onNews:       dependencies.OnNews,
 		started:      time.Now(),
 		bounds:       settings.Bounds,
@@ -199,6 +203,7 @@
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{w: w, r: r, arrived: time.Now(), view: g.views.View(), info: g.dialect.ParseRequest(r)}
+	defer g.returnMemory(q) // no further attempt is possible
 	for _, stage := range stages {
 		if refused := stage(g, q); refused != nil {
 			g.refuse(q, refused)
--- a/internal/rtgateway/request.go
+++ b/internal/rtgateway/request.go
@@ -96,7 +96,7 @@
 	route        *rtcatalog.Route
 	organisation *rtcatalog.Organisation // nil on public routes
 	service      *rtcatalog.Service
-	body         []byte
+	body         [][]byte // in pieces
 	work         rtplacement.Work
 }
 
--- a/internal/rtgateway/server.go
+++ b/internal/rtgateway/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,7 +42,7 @@
 	callerServer := &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeader,
+		MaxHeaderBytes:    g.intake.maxHeader(),
 		ConnState:         g.trackConnection,
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, connection)
@@ -51,7 +52,7 @@
 	serveCtx := context.WithoutCancel(ctx)
 	tasks := []*rttask.Task{
 		rttask.Start(serveCtx, "callers", func(context.Context) error {
-			return callerServer.Serve(&idleListener{Listener: callerListener, limit: g.idleLimit})
+			return callerServer.Serve(&idleListener{Listener: callerListener, limit: g.idleLimit, intake: g.intake})
 		}),
 		rttask.Start(serveCtx, "readiness", func(context.Context) error { return readinessServer.Serve(readinessListener) }),
 	}
@@ -94,16 +95,24 @@
 // they are open. http.Server only has a fixed one.
 type idleListener struct {
 	net.Listener
-	limit func() time.Duration
+	limit  func() time.Duration
+	intake *intake
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection that is within the bound of connections.
 func (l *idleListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		connection, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &idleConn{Conn: connection, limit: l.limit, intake: l.intake}
+		if l.intake.admit(c) {
+			return c, nil
+		}
+		// The caller sees the connection end without a response.
+		_ = connection.Close()
 	}
-	return &idleConn{Conn: connection, limit: l.limit}, nil
 }
 
 // idleConn sets the read deadline of an idle connection from the limit.
@@ -113,9 +122,31 @@
 	idle   atomic.Bool
 	active atomic.Bool // a request is read or served
 
+	intake   *intake
+	use      connectionUse // guarded by intake
+	lastRead atomic.Int64  // bytes of the last read, a part of which may belong to the next header
+
 	mu sync.Mutex
 }
 
+// Read reads from the connection. The bytes of headers count in the intake.
+func (c *idleConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		defer c.lastRead.Store(int64(n))
+	}
+	if n > 0 && !c.active.Load() && !c.intake.readHeader(c, n) {
+		return 0, os.ErrDeadlineExceeded // http.Server closes the connection without a response
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *idleConn) Close() error {
+	c.intake.remove(c)
+	return c.Conn.Close()
+}
+
 // SetReadDeadline sets the read deadline. http.Server clears it on an idle
 // connection, which then gets the idle limit.
 func (c *idleConn) SetReadDeadline(t time.Time) error {
@@ -168,6 +199,7 @@
 		return
 	}
 	c.idle.Store(state == http.StateIdle)
+	g.intake.track(c, state)
 	active := state == http.StateActive
 	if was := c.active.Swap(active); active && !was {
 		g.activeConnections.Add(1)
--- a/internal/rtgateway/stages.go
+++ b/internal/rtgateway/stages.go
@@ -1,6 +1,7 @@
 package rtgateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -16,7 +17,8 @@
 	(*Gateway).checkBodySize,
 	(*Gateway).prepareWork,
 	(*Gateway).readBody,
-	(*Gateway).refuseLate, // last, because a body may take long to arrive
+	(*Gateway).refuseLate, // after the body, which may take long to arrive
+	(*Gateway).refuseEvicted,
 }
 
 const (
@@ -54,7 +56,7 @@
 func (g *Gateway) checkHeaderSize(q *request) *refusal {
 	limit := int64(q.view.Configuration.Limits.Header)
 	if limit > 0 && headerSize(q.r) > limit {
-		q.discardBody()
+		g.discardBody(q)
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
 	}
 	return nil
@@ -100,7 +102,7 @@
 func (g *Gateway) checkBodySize(q *request) *refusal {
 	limit := q.view.Configuration.Limits.Body
 	if limit > 0 && q.r.ContentLength > int64(limit) {
-		q.discardBody()
+		g.discardBody(q)
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
 	return nil
@@ -109,7 +111,13 @@
 // discardBody reads the body of a refused request, up to a limit. If the
 // connection were closed at once, a caller that is still sending could not
 // read the refusal.
-func (q *request) discardBody() {
+func (g *Gateway) discardBody(q *request) {
+	if !g.intake.beginDiscard() {
+		q.w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now()) // the server does not read the rest either
+		return
+	}
+	defer g.intake.endDiscard()
 	control := http.NewResponseController(q.w)
 	_ = control.SetReadDeadline(time.Now().Add(discardTimeout)) // may be unsupported, as in readBody
 	// After a read error the server closes the connection.
@@ -159,15 +167,18 @@
 	// The connection may not support deadlines, as in tests. Then only the
 	// limits of the server apply.
 	_ = control.SetReadDeadline(q.deadline)
-	body, err := io.ReadAll(io.LimitReader(q.r.Body, limit+1))
+	size, err := g.receiveBody(q, limit)
+	if errors.Is(err, errEvicted) {
+		q.w.Header().Set("Connection", "close")
+		return notRun(reasonEvicted, g.retryAfter(evictedRetryDelay))
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	switch {
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
-	case int64(len(body)) > limit:
-		q.discardBody()
+	case size > limit:
+		g.discardBody(q)
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
-	q.body = body
 	return nil
 }
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfake"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtintake"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtmetric"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
@@ -209,6 +210,12 @@
 // withTestbed runs a test with a gateway and a number of targets in virtual
 // time.
 func withTestbed(t *testing.T, targets int, test func(b *testbed)) {
+	t.Helper()
+	withLimitedTestbed(t, targets, rtintake.Limits{}, test)
+}
+
+// withLimitedTestbed is withTestbed with limits on what callers may use.
+func withLimitedTestbed(t *testing.T, targets int, limits rtintake.Limits, test func(b *testbed)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		b := &testbed{t: t, network: &rtfake.Network{Seed: 1}}
@@ -222,7 +229,7 @@
 			t.Fatal(err)
 		}
 		b.gateway = New(Settings{
-			VM: "entry-1", Zone: "a", Callers: callers, Readiness: readiness,
+			VM: "entry-1", Zone: "a", Callers: callers, Readiness: readiness, Intake: limits,
 			Bounds: Bounds{RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, Grace: grace, ColdFactor: 1.5},
 		}, Dependencies{
 			Network: b.network.Host("10.0.0.1"),
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -121,7 +121,8 @@
 // Run serves until the context ends. The feed and the peer group run until the
 // last request has ended.
 func (p *gatewayProcess) Run(ctx context.Context) error {
-	p.log.Info("Starting.", "vm", p.settings.Gateway.VM, "zone", p.settings.Gateway.Zone, "store", p.settings.StoreAddress, "memory", p.settings.Memory)
+	p.log.Info("Starting.", "vm", p.settings.Gateway.VM, "zone", p.settings.Gateway.Zone, "store", p.settings.StoreAddress, "memory", p.settings.Memory,
+		"bodies", p.settings.Gateway.Intake.Memory, "connections", p.settings.Gateway.Intake.Connections)
 	background := context.WithoutCancel(ctx)
 	feed := rttask.Start(background, "feed", p.feed.Run)
 	group := rttask.Start(background, "peers", p.group.Run)
