--- a/internal/rtgateway/intake.go
+++ b/internal/rtgateway/intake.go
@@ -22,6 +22,10 @@
 	// memoryPollInterval is how often a request that waits for memory looks for bodies
 	// that have stalled meanwhile.
 	memoryPollInterval = 50 * time.Millisecond
+	// roomInterval is the least time between two looks for a request to evict, each of
+	// which visits all requests. With 64 KiB at least for each, a hundred a second follow
+	// callers that send 6 MB/s in all.
+	roomInterval = 10 * time.Millisecond
 	// maxDiscards limits the refused requests whose rest is read at the same time. Each
 	// takes up to discardTimeout.
 	maxDiscards = 64
@@ -55,6 +59,7 @@
 	owners      map[*rtintake.Draw]*idleConn
 	changed     chan struct{} // closed when memory is returned or a request is evicted
 	discards    int
+	looked      time.Time // for a request to evict
 	reported    time.Time
 	events      map[string]int // since reported, by cause
 }
@@ -240,17 +245,13 @@
 			i.mu.Unlock()
 			return errEvicted
 		}
-		victim, cause := i.budget.MakeRoom(draw, n, now)
-		if victim != nil {
-			i.count(cause.String())
-			i.interrupt(victim)
-			i.report(now)
-		}
+		i.makeRoom(now)
 		changed := i.changed
-		i.mu.Unlock()
-		if victim == draw {
+		if draw.Evicted() {
+			i.mu.Unlock()
 			return errEvicted
 		}
+		i.mu.Unlock()
 		timer := time.NewTimer(min(memoryPollInterval, until.Sub(now)))
 		select {
 		case <-changed:
@@ -260,6 +261,20 @@
 	}
 }
 
+// makeRoom evicts a request if those that wait need it, and if it has not looked just
+// before.
+func (i *intake) makeRoom(now time.Time) {
+	if now.Sub(i.looked) < roomInterval {
+		return
+	}
+	i.looked = now
+	if victim, cause := i.budget.MakeRoom(now); victim != nil {
+		i.count(cause.String())
+		i.interrupt(victim)
+		i.report(now)
+	}
+}
+
 // interrupt ends the reading of a request that has been evicted.
 func (i *intake) interrupt(draw *rtintake.Draw) {
 	c := i.owners[draw]
--- a/internal/rtintake/budget.go
+++ b/internal/rtintake/budget.go
@@ -9,6 +9,7 @@
 	arrived  time.Time
 	progress time.Time // when a byte last arrived, or memory that it waited for was given
 	waiting  time.Time // since when it waits for memory; zero if it does not
+	need     int64     // bytes that it waits for
 	received int64     // bytes of its body
 	body     bool      // its header is complete
 	sent     bool
@@ -78,6 +79,7 @@
 		if d.waiting.IsZero() {
 			d.waiting = now
 		}
+		d.need = n
 		return false
 	}
 	b.used += n
@@ -113,20 +115,29 @@
 	delete(b.draws, d)
 }
 
-// MakeRoom decides which request gives way to one that waits for n more bytes, and
-// marks it. It returns nil while the request should go on waiting.
+// MakeRoom decides which request gives way to the one that has waited longest, and marks
+// it. It returns nil while that one should go on waiting.
 //
 // It addresses crowds whose bodies exceed the memory: those that stop short of their
 // end (Stalled), those that trickle (Slow), and those that all arrive at full speed
 // (Largest). Of the last, the newest of the holder that holds most gives way, so that
 // the oldest completes.
-func (b *Budget) MakeRoom(d *Draw, n int64, now time.Time) (*Draw, Cause) {
-	if b.evicting() {
-		return nil, None // its memory is about to be returned
+func (b *Budget) MakeRoom(now time.Time) (*Draw, Cause) {
+	var first *Draw
+	for d := range b.draws {
+		if d.evicted && d.held > 0 {
+			return nil, None // its memory is about to be returned
+		}
+		if !d.evicted && !d.waiting.IsZero() && (first == nil || d.waiting.Before(first.waiting)) {
+			first = d
+		}
+	}
+	if first == nil {
+		return nil, None
 	}
-	victim, cause := b.withoutProgress(d, now)
-	if victim == nil && !d.waiting.IsZero() && now.Sub(d.waiting) >= yieldTime {
-		victim, cause = b.newestOfLargest(d, n), Largest
+	victim, cause := b.withoutProgress(true, now)
+	if victim == nil && now.Sub(first.waiting) >= yieldTime {
+		victim, cause = b.newestOfLargest(first), Largest
 	}
 	if victim == nil {
 		return nil, None
@@ -139,7 +150,7 @@
 // progress for longest, or else one that was sent and whose deadline passed StallTime
 // ago, so that its caller does not read the response. It returns nil if there is none.
 func (b *Budget) Stalled(now time.Time) *Draw {
-	victim, _ := b.withoutProgress(nil, now)
+	victim, _ := b.withoutProgress(false, now)
 	for d := range b.draws {
 		if d.sent && !d.evicted && now.Sub(d.deadline) >= StallTime && (victim == nil || victim.sent && d.deadline.Before(victim.deadline)) {
 			victim = d
@@ -151,23 +162,12 @@
 	return victim
 }
 
-// evicting reports whether a request that has been evicted still holds memory.
-func (b *Budget) evicting() bool {
-	for d := range b.draws {
-		if d.evicted && d.held > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// withoutProgress returns the request that has made no progress for longest, other
-// than one, or else the slowest one. For another request's memory only those that hold
-// some count.
-func (b *Budget) withoutProgress(other *Draw, now time.Time) (*Draw, Cause) {
+// withoutProgress returns the request that has made no progress for longest, or else
+// the slowest one, of all or of those that hold memory.
+func (b *Budget) withoutProgress(holding bool, now time.Time) (*Draw, Cause) {
 	var stalled, slow *Draw
 	for d := range b.draws {
-		if d == other || d.sent || d.evicted || !d.waiting.IsZero() || other != nil && d.held == 0 {
+		if d.sent || d.evicted || !d.waiting.IsZero() || holding && d.held == 0 {
 			continue
 		}
 		age := now.Sub(d.arrived)
@@ -193,12 +193,12 @@
 
 // newestOfLargest returns the newest request of the holder that holds most in requests
 // that have not been sent, of those larger than smallDraw if there are any. The request
-// that waits for n bytes counts with them. Holders that hold the same are ordered by
+// that waits counts with what it needs. Holders that hold the same are ordered by
 // name.
-func (b *Budget) newestOfLargest(waiting *Draw, n int64) *Draw {
+func (b *Budget) newestOfLargest(waiting *Draw) *Draw {
 	size := func(d *Draw) int64 {
 		if d == waiting {
-			return d.held + n
+			return d.held + d.need
 		}
 		return d.held
 	}
--- a/internal/rtintake/limits.go
+++ b/internal/rtintake/limits.go
@@ -1,6 +1,6 @@
 // Package rtintake decides how much of a process callers may use before their requests
 // are sent: memory for bodies and headers, and connections. It has no sockets and no
-// clock; its owner serializes the calls.
+// clock; its owner makes one call at a time.
 package rtintake
 
 import (
