--- a/internal/rtgateway/intake.go
+++ b/internal/rtgateway/intake.go
@@ -216,6 +216,7 @@
 		c.use.header = c.lastRead.Load()
 	}
 	c.use.header += int64(n)
+	i.budget.Progress(c.use.draw, n, now)
 	draw := c.use.draw
 	need := (c.use.header-rtintake.FreeHeader)*rtintake.HeaderCost - draw.Held()
 	i.mu.Unlock()
--- a/internal/rtintake/budget.go
+++ b/internal/rtintake/budget.go
@@ -10,7 +10,7 @@
 	progress time.Time // when a byte last arrived, or memory that it waited for was given
 	waiting  time.Time // since when it waits for memory; zero if it does not
 	need     int64     // bytes that it waits for
-	received int64     // bytes of its body
+	received int64     // bytes of its header, then of its body
 	body     bool      // its header is complete
 	sent     bool
 	deadline time.Time // of a request that has been sent
@@ -60,10 +60,10 @@
 
 // BeginBody says that the header of a request is complete, and names its holder.
 func (b *Budget) BeginBody(d *Draw, holder string, now time.Time) {
-	d.holder, d.arrived, d.progress, d.body = holder, now, now, true
+	d.holder, d.arrived, d.progress, d.body, d.received = holder, now, now, true, 0
 }
 
-// Progress records that bytes of a body have arrived.
+// Progress records that bytes of a header or body have arrived.
 func (b *Budget) Progress(d *Draw, n int, now time.Time) {
 	d.received += int64(n)
 	d.progress = now
