Count a response without a length as truncated if its request was not received

A target that answers without a length or chunks and closes with the request unread was taken for complete. Cause: the kernel reports a reset only once. If the writer of the request gets the error, the reader gets an end in order. A half close, and a FIN before the reset, are ends in order anyway. The result of the write task was not looked at; and a write also succeeds for bytes that only the kernel has taken.

The body of such a response now ends with an error unless the write has ended without one and the kernel has no unacknowledged bytes (TIOCOUTQ): the FIN of a peer acknowledges what it has received. The decision is at the end of the body in rtexchange, so plain answers, streams and replies to memory commands all get it. Where the number is not known (other systems, tests' networks), the write decides.

--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -39,6 +39,10 @@
 // errHeadTooLarge means that a response header is larger than maxHeadSize.
 var errHeadTooLarge = fmt.Errorf("larger than %d bytes", maxHeadSize)
 
+// ErrUnread means that a response without a length or chunks ended before its target
+// had received the whole request, so that it is not known to be complete.
+var ErrUnread = errors.New("response without a length ended before its request was written")
+
 // ErrNotSent means that no part of a request was sent.
 var ErrNotSent = errors.New("not sent")
 
@@ -56,7 +60,9 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   *bufio.Reader // returns io.EOF only if the response is complete
+	// Body returns io.EOF only at the end that the response names, or at the end of its
+	// connection if it names none and the request was written before.
+	Body *bufio.Reader
 
 	response    *http.Response
 	connection  net.Conn
@@ -109,6 +115,7 @@
 	}
 	response.stopClose = stopClose
 	response.writeTask = writeTask
+	response.Body.Reset(&bodyReader{reader: response.response.Body, response: response})
 	return response, nil
 }
 
--- a/internal/rtgateway/testbed_test.go
+++ b/internal/rtgateway/testbed_test.go
@@ -125,6 +125,7 @@
 
 	mu            sync.Mutex
 	script        script
+	beforeBody    func(c net.Conn, r *run) bool // reports whether it has answered without the body; nil for no such answers
 	commands      []string
 	commandStatus func(command string) int // reply to a memory command; nil for 200
 	commandHeader string                   // lines that replies to memory commands have
@@ -317,6 +318,12 @@
 	if err != nil {
 		return
 	}
+	target.mu.Lock()
+	beforeBody := target.beforeBody
+	target.mu.Unlock()
+	if beforeBody != nil && beforeBody(c, &run{target: target, request: request, at: time.Now()}) {
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
