Treat statuses outside 100 to 599 as no response

600 to 999 were passed on. They have no class, clients treat them as a server error (RFC 9110, section 15), and what a target means by one is not known, so the attempt is lost like one with a status below 100: 502 for what may run only once, another attempt for the rest.

rttarget, the agents' client: the same statuses are no answer of a target, so the outcome of the request is unknown; and only 4xx is a refusal. A status below 400 other than 200 counted as "not run" although a 202 may have run.

--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -31,6 +31,9 @@
 	// before it, in bytes. http.ReadResponse has no limit of its own. Common
 	// HTTP servers limit headers to 8 or 16 KiB.
 	maxHeadSize = 64 << 10
+	// maxStatus is the highest status of a valid response. Clients treat others as server
+	// errors (RFC 9110, section 15), and what a target means by one is not known.
+	maxStatus = 599
 	// maxInterimResponses is the number of interim responses (1xx) after which
 	// Send fails without reading on.
 	maxInterimResponses = 4
@@ -129,8 +132,8 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
-		if response.StatusCode < http.StatusContinue {
-			return nil, fmt.Errorf("read response header: got status %d, want at least 100", response.StatusCode)
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, fmt.Errorf("read response header: got status %d, want 100 to %d", response.StatusCode, maxStatus)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
--- a/internal/rtexchange/exchange_test.go
+++ b/internal/rtexchange/exchange_test.go
@@ -147,6 +147,9 @@
 		{"cut in the end of the header", head + "Content-Length: 0\r\n\r", "", false},
 		{"interim response only", "HTTP/1.1 100 Continue\r\n\r\n", "", false},
 		{"status below 100", "HTTP/1.1 042 x\r\nContent-Length: 40\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", "", false},
+		{"status 600", "HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\nok", "", false},
+		{"status 999 without length", "HTTP/1.1 999 x\r\n\r\nok", "", false},
+		{"status 599", "HTTP/1.1 599 x\r\nContent-Length: 2\r\n\r\nok", "ok", true},
 		{"status below 100 without length", "HTTP/1.1 000 x\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", "", false},
 	}
 	for _, test := range tests {
--- a/internal/rtgateway/earlyresponse_test.go
+++ b/internal/rtgateway/earlyresponse_test.go
@@ -374,3 +374,27 @@
 		})
 	}
 }
+
+// Guards against a status outside 100 to 599 that is passed on: clients treat it as a
+// server error, and what the target means by it is not known.
+func TestInvalidStatus(t *testing.T) {
+	for _, kind := range earlyKinds {
+		for _, status := range []int{42, 600, 999} {
+			t.Run(fmt.Sprint(kind.path, " ", kind.attempts, " attempts, ", status), func(t *testing.T) {
+				withTestbed(t, 2, func(b *testbed) {
+					b.publishAttempts(kind.attempts)
+					b.inOrder(writeText(func(r *run) string {
+						return strings.Replace(r.responseHead(200, "Content-Length: 2\r\n"), "200", fmt.Sprintf("%03d", status), 1) + "ok"
+					}), answerOK)
+					got := b.call(http.MethodPost, kind.path, headers("id-1"), "")
+					switch {
+					case kind.repeatable && (got.err != nil || got.status != http.StatusOK || got.body != kind.whole):
+						t.Errorf("%s; want the response of the second target", b.describeReply(got))
+					case !kind.repeatable && (got.status != http.StatusBadGateway || len(b.allRuns()) != 1):
+						t.Errorf("%s; want status 502 after one attempt", b.describeReply(got))
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/rttarget/client.go
+++ b/internal/rttarget/client.go
@@ -16,6 +16,9 @@
 // maxReplySize limits the body of a response that is not a stream, in bytes.
 const maxReplySize = 4 << 20
 
+// maxStatus is the highest status of a valid response (RFC 9110, section 15).
+const maxStatus = 599
+
 // StatusError is a response of a target with a status other than 200.
 type StatusError struct {
 	Status int
@@ -31,7 +34,7 @@
 // A status of 500 or above is a failure of the target, which may have executed
 // the request before it failed.
 func (e *StatusError) Refused() bool {
-	return e.Status < http.StatusInternalServerError
+	return e.Status >= http.StatusBadRequest && e.Status < http.StatusInternalServerError
 }
 
 // targetClient sends requests to one target.
@@ -63,6 +66,10 @@
 		return response, nil
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+		// Not a valid response, so it does not say whether the request has run.
+		return nil, fmt.Errorf("%s %s: got status %d, want 100 to %d", method, path, response.StatusCode, maxStatus)
+	}
 	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxReplySize))
 	failure := &StatusError{Status: response.StatusCode, Detail: string(bytes.TrimSpace(detail))}
 	var conflict Conflict
