Remember targets that truncate streams

A live target that ends each stream after one event, in order and without a length, was believed whenever nobody could be asked for the rest. A confirmation that has more events shows what the target does. Services whose streams are whole are never in the register.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -42,22 +42,23 @@
 	attempts rtdelivery.AttemptState
 
 	tried          []rtid.Target
-	withoutMemory  []rtid.Target   // engines that have refused memory for the prompt or not answered
-	scheduled      scheduled       // of the current attempt
-	successor      *scheduled      // reserved for the next attempt, its retry is taken; nil for none
-	refusal        *refusal        // why no target was selected; nil if the caller has disconnected
-	lastDetail     string          // detail of the last attempt
-	failedResponse *storedResponse // of the last failed attempt that has one; nil for none
-	headWritten    bool            // status and headers have been written to the caller
-	writtenStatus  int             // the status that the caller has; 0 before headWritten
-	writtenType    string          // the media type that the caller has; empty for none
-	lastEventID    string          // ID of the last whole event that was written to the caller
-	lastEventAt    time.Time       // when it was received; zero before the first event
-	endReported    bool            // a target has ended the stream after the last event; set while another one is asked for more
-	endAfterEvents bool            // that target had sent events before
-	answerProven   bool            // the target of the current attempt lived on after its first event
-	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
-	probe          bool            // it shows whether a part in quarantine still crashes targets
+	withoutMemory  []rtid.Target       // engines that have refused memory for the prompt or not answered
+	scheduled      scheduled           // of the current attempt
+	successor      *scheduled          // reserved for the next attempt, its retry is taken; nil for none
+	refusal        *refusal            // why no target was selected; nil if the caller has disconnected
+	lastDetail     string              // detail of the last attempt
+	failedResponse *storedResponse     // of the last failed attempt that has one; nil for none
+	headWritten    bool                // status and headers have been written to the caller
+	writtenStatus  int                 // the status that the caller has; 0 before headWritten
+	writtenType    string              // the media type that the caller has; empty for none
+	lastEventID    string              // ID of the last whole event that was written to the caller
+	lastEventAt    time.Time           // when it was received; zero before the first event
+	endReported    bool                // a target has ended the stream after the last event; set while another one is asked for more
+	endAfterEvents bool                // that target had sent events before
+	unconfirmedBy  *rtcatalog.Instance // the last target that has ended the stream unconfirmed; nil for none
+	answerProven   bool                // the target of the current attempt lived on after its first event
+	inPlaceQueue   bool                // it waits for a place at a target that limits its rate
+	probe          bool                // it shows whether a part in quarantine still crashes targets
 }
 
 const (
@@ -331,7 +332,7 @@
 // giveUpAfter is giveUp with the time after which targets are expected to have
 // room.
 func (d *delivery) giveUpAfter(reason string, delay time.Duration) *refusal {
-	if d.endReported && d.endAfterEvents {
+	if d.endReported && d.endAfterEvents && !d.gateway.truncates(d.unconfirmedBy) {
 		d.gateway.log.Info("End of a stream not confirmed.", "request", d.request.info.ID, "reason", reason, "detail", d.lastDetail, "event", d.lastEventID)
 		d.countEnd(rtexchange.ByConnection)
 		return nil
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtdelivery"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtfeature"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -116,6 +117,7 @@
 	lastReceived map[rtid.Target]time.Time    // when data of a target was last received
 	checks       map[rtid.Target]*targetCheck // the last one of each target
 	quarantine   rtquarantine.Register
+	truncations  rtdelivery.Truncations
 	rateLimits   rtlimit.TargetLimits
 	limitLogs    map[rtid.Target]limitLog
 	limitWaiting map[rtid.Service]int // requests that wait for a place at a limited target
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -179,6 +179,7 @@
 		if !event.Comment {
 			r.events++
 			d.endReported = false
+			d.recordContinued()
 		}
 		switch {
 		case event.ID != "":
--- a/internal/rtgateway/streamend.go
+++ b/internal/rtgateway/streamend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/rhubarbtally/rhubarbtally/internal/rtcatalog"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtdelivery"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtexchange"
 )
@@ -14,6 +15,7 @@
 	errEndedWithTarget = errors.New("response without a length ended with the process of its target")
 	errNoBody          = errors.New("response without a length ended before its body")
 	errNoEvents        = errors.New("response without a length ended before its first event")
+	errTruncates       = errors.New("response without a length of a target that has truncated a stream lately")
 )
 
 // endedWithTarget reports whether a response without a length has ended because the
@@ -40,8 +42,20 @@
 	}
 	r.proveParts()
 	r.recordAnswer()
-	if r.response.Framing() == rtexchange.ByConnection && !d.endReported && d.attempts.Repeatable {
-		return r.confirmEnd()
+	if r.response.Framing() != rtexchange.ByConnection {
+		return r.complete()
+	}
+	if !d.endReported && d.attempts.Repeatable {
+		return r.confirmEnd(ctx)
+	}
+	return r.endUnconfirmed(ctx)
+}
+
+// endUnconfirmed ends a stream whose end only the connection shows and that no other
+// target confirms: as a complete one, unless its target has truncated others.
+func (r *relay) endUnconfirmed(ctx context.Context) result {
+	if r.delivery.gateway.truncates(r.target) {
+		return r.delivery.exchangeFailed(ctx, r.target, errTruncates)
 	}
 	return r.complete()
 }
@@ -57,9 +71,10 @@
 // connection shows, because such an end may come early. After a loss, or without an
 // event, the end must be confirmed. Otherwise it is enough if nobody can be asked, or if
 // the other target has no more events or does not answer.
-func (r *relay) confirmEnd() result {
+func (r *relay) confirmEnd(ctx context.Context) result {
 	d := r.delivery
 	r.watchdog.stop()
+	d.unconfirmedBy = r.target
 	unconfirmed := result{outcome: rtdelivery.Unconfirmed, detail: "stream ended with its connection"}
 	if d.attempts.HasLoss() {
 		return unconfirmed // as after another loss
@@ -69,7 +84,30 @@
 	if d.endReported || !d.endAfterEvents {
 		return unconfirmed
 	}
-	return r.complete()
+	return r.endUnconfirmed(ctx)
+}
+
+// recordContinued records that a stream has gone on after its end was reported: the target
+// that reported it has truncated the stream.
+func (d *delivery) recordContinued() {
+	truncating := d.unconfirmedBy
+	if truncating == nil {
+		return
+	}
+	d.unconfirmedBy = nil
+	g := d.gateway
+	g.mu.Lock()
+	g.truncations.Record(truncating.ID, truncating.Born, time.Now())
+	g.mu.Unlock()
+	g.log.Info("Stream truncated by its target.", "request", d.request.info.ID, "target", truncating.ID, "event", d.lastEventID)
+	g.metrics.Scope.Counter("truncated_streams").Inc(1)
+}
+
+// truncates reports whether a target has truncated a stream lately.
+func (g *Gateway) truncates(target *rtcatalog.Instance) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return target != nil && g.truncations.Truncates(target.ID, target.Born, time.Now())
 }
 
 // endsBeforeBegin reports whether a response without a length has ended without an event,
--- a/internal/rtgateway/streamend_test.go
+++ b/internal/rtgateway/streamend_test.go
@@ -262,3 +262,63 @@
 		}
 	})
 }
+
+// Guards against a target that ends its streams after one event and whose later streams
+// look complete while nobody can be asked for their rest, although a confirmation has
+// shown what it does.
+func TestTruncatingTarget(t *testing.T) {
+	situations := []struct {
+		name string
+		path string
+		end  func(b *testbed) // ends the possibility of confirmations
+	}{
+		{"no other target", "/stream/x", func(b *testbed) { b.network.Kill(string(b.targets[1].address)) }},
+		{"no retries", "/stream/x", func(b *testbed) {
+			b.gateway.SetBounds(Bounds{RetryWindow: 10 * time.Second, Grace: grace})
+			b.gateway.mu.Lock()
+			defer b.gateway.mu.Unlock()
+			clear(b.gateway.retries) // the share of earlier requests
+		}},
+		{"one attempt", "/stream/x", func(b *testbed) { b.publishAttempts(1) }},
+		{"silent confirmation", "/stream/x", func(b *testbed) { b.targets[1].set(neverAnswer) }},
+		{"stream that may not be resumed", "/once/x", func(*testbed) {}},
+	}
+	for _, situation := range situations {
+		for _, shown := range []bool{true, false} {
+			t.Run(fmt.Sprint(situation.name, ", shown ", shown), func(t *testing.T) {
+				withTestbed(t, 2, func(b *testbed) {
+					truncating, wholeEvents := b.targets[0], events
+					truncating.set(func(c net.Conn, r *run) { unframed(wholeEvents, closeInOrder)(c, r) })
+					if shown {
+						wholeEvents = 1
+						b.callUntilSentTo(truncating, "/stream/x")
+					}
+					situation.end(b)
+					got := b.callUntilSentTo(truncating, situation.path)
+					if (got.err == nil) == shown || !shown && got.body != allEvents() {
+						t.Errorf("%s; want it broken off if the target is known to truncate streams, else whole", b.describeReply(got))
+					}
+					time.Sleep(time.Minute)
+					wholeEvents = events
+					if got := b.callUntilSentTo(truncating, situation.path); got.err != nil || got.body != allEvents() {
+						t.Errorf("a minute later: %s; want the whole stream", b.describeReply(got))
+					}
+				})
+			})
+		}
+	}
+}
+
+// callUntilSentTo sends requests until one goes to a target first, and returns the reply to
+// that one.
+func (b *testbed) callUntilSentTo(target *target, path string) reply {
+	for i := range 100 {
+		before := len(b.allRuns())
+		got := b.call(http.MethodPost, path, headers(fmt.Sprint("id-", before, "-", i)), "")
+		if runs := b.allRuns(); len(runs) > before && runs[before].target == target {
+			return got
+		}
+	}
+	b.t.Fatal("no request was sent to the target")
+	return reply{}
+}
