--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -31,6 +31,9 @@
 	// before it, in bytes. http.ReadResponse has no limit of its own. Common
 	// HTTP servers limit headers to 8 or 16 KiB.
 	maxHeadSize = 64 << 10
+	// maxStatus is the highest status of a valid response. Clients treat others as server
+	// errors (RFC 9110, section 15), and what a target means by one is not known.
+	maxStatus = 599
 	// maxInterimResponses is the number of interim responses (1xx) after which
 	// Send fails without reading on.
 	maxInterimResponses = 4
@@ -39,6 +42,10 @@
 // errHeadTooLarge means that a response header is larger than maxHeadSize.
 var errHeadTooLarge = fmt.Errorf("larger than %d bytes", maxHeadSize)
 
+// ErrUnread means that a response without a length or chunks ended before its target
+// had received the whole request, so that it is not known to be complete.
+var ErrUnread = errors.New("response without a length ended before its request was written")
+
 // ErrNotSent means that no part of a request was sent.
 var ErrNotSent = errors.New("not sent")
 
@@ -66,7 +73,9 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   *bufio.Reader // returns io.EOF only if the response is complete
+	// Body returns io.EOF only at the end that the response names, or at the end of its
+	// connection if it names none and the request was written before.
+	Body *bufio.Reader
 
 	response    *http.Response
 	connection  net.Conn
@@ -119,6 +128,7 @@
 	}
 	response.stopClose = stopClose
 	response.writeTask = writeTask
+	response.Body.Reset(&bodyReader{reader: response.response.Body, response: response})
 	return response, nil
 }
 
@@ -132,8 +142,8 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
-		if response.StatusCode < http.StatusContinue {
-			return nil, fmt.Errorf("read response header: got status %d, want at least 100", response.StatusCode)
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, fmt.Errorf("read response header: got status %d, want 100 to %d", response.StatusCode, maxStatus)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
