--- a/internal/rtcatalog/catalog.go
+++ b/internal/rtcatalog/catalog.go
@@ -89,6 +89,9 @@
 	Name     rtid.Organisation
 	Keys     []string
 	Priority int // overrides the priority of a route; -1 for none
+	// Weight is its part of scarce capacity, relative to other organisations. 0 counts
+	// as 1.
+	Weight float64
 }
 
 // Limits holds the limits of a caller's requests: the sizes of header and body,
@@ -111,6 +114,7 @@
 	hosts    map[string][]*Route // longest prefix first
 	services map[rtid.Service]*Service
 	keys     map[string]*Organisation
+	weights  map[rtid.Organisation]float64 // of those that have one
 }
 
 // Index builds the look-up tables. It must be called once, before the
@@ -130,7 +134,11 @@
 		c.services[c.Services[i].Name] = &c.Services[i]
 	}
 	c.keys = make(map[string]*Organisation)
+	c.weights = make(map[rtid.Organisation]float64)
 	for i := range c.Organisations {
+		if weight := c.Organisations[i].Weight; weight > 0 {
+			c.weights[c.Organisations[i].Name] = weight
+		}
 		for _, key := range c.Organisations[i].Keys {
 			c.keys[key] = &c.Organisations[i]
 		}
@@ -153,6 +161,14 @@
 // Organisation returns the organisation that has a key, or nil.
 func (c *Configuration) Organisation(key string) *Organisation { return c.keys[key] }
 
+// Weight returns the weight of an organisation, 1 for one that has none.
+func (c *Configuration) Weight(organisation rtid.Organisation) float64 {
+	if weight, ok := c.weights[organisation]; ok {
+		return weight
+	}
+	return 1
+}
+
 // Instance is one start of a target: a target that restarts becomes a new
 // instance.
 type Instance struct {
