Exchange the usage of organisations in digests

Change: digests within a cell carry uses of services with scarce capacity and the services that lack capacity, in the binary encoding. The use has a flag for requests that lack capacity, from which peers know whose demand is open.

--- a/internal/rtpeer/codec.go
+++ b/internal/rtpeer/codec.go
@@ -107,6 +107,12 @@
 	for _, target := range d.Leaving {
 		w.Leaving = append(w.Leaving, wireStart(target))
 	}
+	for _, u := range d.Uses {
+		w.Uses = append(w.Uses, &rtwire.OrganisationUse{Service: string(u.Service), Organisation: string(u.Organisation), Use: u.Use, Waiting: u.Waiting})
+	}
+	for _, service := range d.Scarce {
+		w.Scarce = append(w.Scarce, string(service))
+	}
 	return w, nil
 }
 
@@ -137,6 +143,14 @@
 	for _, target := range w.GetLeaving() {
 		d.Leaving = append(d.Leaving, startFrom(target))
 	}
+	for _, u := range w.GetUses() {
+		d.Uses = append(d.Uses, reportedUse{
+			Service: rtid.Service(u.GetService()), Organisation: rtid.Organisation(u.GetOrganisation()), Use: u.GetUse(), Waiting: u.GetWaiting(),
+		})
+	}
+	for _, service := range w.GetScarce() {
+		d.Scarce = append(d.Scarce, rtid.Service(service))
+	}
 	return d
 }
 
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -34,6 +34,8 @@
 	Evidence   []reportedEvidence           `json:"evidence,omitempty"`
 	Limits     []reportedLimit              `json:"limits,omitempty"`  // named by targets to the sender
 	Leaving    []rtid.TargetIncarnation     `json:"leaving,omitempty"` // at most maxReportedLeaves
+	Uses       []reportedUse                `json:"-"`                 // of organisations; at most maxReportedUses
+	Scarce     []rtid.Service               `json:"-"`                 // services whose capacity is scarce
 	Codec      int                          `json:"codec,omitempty"`   // latest encoding that the sender reads
 }
 
@@ -115,6 +117,7 @@
 // forOtherCells returns the digest without what concerns the targets of the cell.
 func (d digest) forOtherCells() digest {
 	d.Loads, d.Cooldowns = nil, nil
+	d.Uses, d.Scarce = nil, nil
 	return d
 }
 
@@ -134,6 +137,12 @@
 	return ownCell, otherCells
 }
 
+// cellPeers returns the number of known peers of the own cell.
+func (g *Group) cellPeers() int {
+	ownCell, _ := g.peerAddresses()
+	return len(ownCell)
+}
+
 // newDigest returns a digest of the current state. It lists a number of live peers.
 func (g *Group) newDigest(listed int) digest {
 	message := digest{
@@ -166,6 +175,7 @@
 	message.Evidence = g.localEvidence()
 	message.Limits = g.localLimits()
 	message.Leaving = g.localLeaves()
+	message.Uses, message.Scarce = g.localUses(g.cellPeers(), time.Now())
 	return message
 }
 
@@ -229,12 +239,18 @@
 
 // logDropped logs that a message was dropped.
 func (g *Group) logDropped(sender netip.Addr, err error, now time.Time) {
+	g.logOnce("Digest dropped.", sender, err, now)
+}
+
+// logOnce logs a finding about what a sender has sent, unless there was one within
+// dropLogInterval.
+func (g *Group) logOnce(text string, sender netip.Addr, err error, now time.Time) {
 	maps.DeleteFunc(g.droppedLogs, func(_ netip.Addr, last time.Time) bool { return now.Sub(last) >= dropLogInterval })
 	if _, quiet := g.droppedLogs[sender]; quiet || len(g.droppedLogs) >= maxDropSenders {
 		return
 	}
 	g.droppedLogs[sender] = now
-	g.log.Info("Digest dropped.", "sender", sender.String(), "error", fmt.Sprintf("%.200s", err))
+	g.log.Info(text, "sender", sender.String(), "error", fmt.Sprintf("%.200s", err))
 }
 
 // receiveDigests receives and applies digests until the socket is closed. It
@@ -293,6 +309,7 @@
 	}
 	g.mergeLimits(message.Limits, delay)
 	g.mergeLeaves(message.Leaving)
+	g.mergeUses(message)
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rtpeer/peer.go
+++ b/internal/rtpeer/peer.go
@@ -29,6 +29,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnet"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtshare"
 	"github.com/rhubarbtally/rhubarbtally/internal/rttask"
 )
 
@@ -127,6 +128,18 @@
 	MergeLeaves(targets []rtid.TargetIncarnation)
 }
 
+// ShareExchange is the part of a gateway whose knowledge of the usage of organisations
+// peers exchange.
+type ShareExchange interface {
+	// Uses returns what organisations have used through this process of services with
+	// scarce capacity: the largest uses, most at most, and the sums of the rest.
+	Uses(most int) []rtshare.Use
+	// ScarceServices returns the services whose capacity is scarce in this process.
+	ScarceServices() []rtid.Service
+	// SetPeerUses records what a peer reports. Without uses the earlier ones stay.
+	SetPeerUses(peer rtid.VM, uses []rtshare.Use, scarce []rtid.Service)
+}
+
 // Options are the settings and dependencies of a group.
 type Options struct {
 	VM       rtid.VM
@@ -138,6 +151,7 @@
 	Evidence EvidenceExchange // nil for none
 	Limits   LimitExchange    // nil for none
 	Leaves   LeaveExchange    // nil for none
+	Shares   ShareExchange    // nil for none
 	Log      logr.Logger
 	Scope    tally.Scope // nil for no metrics
 }
@@ -159,6 +173,8 @@
 
 	droppedLogs map[netip.Addr]time.Time // last line about a dropped message, by sender; used by receiveDigests only
 
+	usesSent time.Time // last digest with uses of organisations; used by newDigest only
+
 	newPeer atomic.Bool // set when a peer becomes alive, so that the next digest lists the live peers
 
 	mu       sync.Mutex
--- a/internal/rtpeer/traffic_test.go
+++ b/internal/rtpeer/traffic_test.go
@@ -91,9 +91,17 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		want := testDigest()
+		if codec == binaryCodec {
+			want.Uses = []reportedUse{{Service: "talk", Organisation: "court", Use: 1.5, Waiting: true}, {Service: "talk", Use: 2}}
+			want.Scarce = []rtid.Service{"talk"}
+			if data, err = encodeDigest(want, codec); err != nil {
+				t.Fatal(err)
+			}
+		}
 		got, err := decodeDigest(data)
-		if err != nil || !reflect.DeepEqual(got, testDigest()) {
-			t.Errorf("encoding %d: got %+v, error %v, want %+v", codec, got, err, testDigest())
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("encoding %d: got %+v, error %v, want %+v", codec, got, err, want)
 		}
 	}
 }
