Share scarce capacity fairly among organisations

Cause: each waiting request polls the placement on its own, so who is served depends on chance and on how many requests an organisation sends.

Change: with [shares] enabled, waiting requests of a gateway are tried in the order of rtshare, and those of an organisation over its share leave room to others while they are in time. Without it decisions are as before.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -57,6 +57,7 @@
 	endAfterEvents bool            // that target had sent events before
 	answerProven   bool            // the target of the current attempt lived on after its first event
 	inPlaceQueue   bool            // it waits for a place at a target that limits its rate
+	turn           turn            // among the requests that wait for room
 	probe          bool            // it shows whether a part in quarantine still crashes targets
 }
 
@@ -167,10 +168,11 @@
 		return d.SelectTarget(ctx)
 	}
 	defer d.leavePlaceQueue()
+	defer d.leaveTurns()
 	for {
 		work := q.work
 		work.Waited, work.Begun = time.Since(d.waitingSince()), d.headWritten
-		candidate, ok := d.gateway.place(q, work, d.tried)
+		candidate, ok := d.placeInTurn(work)
 		if !ok {
 			if candidate.backoff > 0 && !d.headWritten {
 				d.refusal = d.giveUpAfter(reasonBackoff, backoffDelay(candidate.backoff, d.maxRetryDelay()))
@@ -297,10 +299,18 @@
 	}
 	timer := time.NewTimer(admitInterval)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil, false
-	case <-ctx.Done():
+	for waiting := true; waiting; {
+		select {
+		case <-timer.C:
+			if d.ownTurn() {
+				return nil, false
+			}
+			timer.Reset(admitInterval)
+		case <-d.turn.wake:
+			return nil, false
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
 	switch {
 	case errors.Is(context.Cause(ctx), errGraceOver):
@@ -374,14 +384,15 @@
 
 // logAttempt logs and counts one attempt, which was to send the events after one of them.
 func (d *delivery) logAttempt(s scheduled, r result, sent time.Time, after string) {
-	d.gateway.log.Info("Sent.", "request", d.request.info.ID, "route", d.request.route.Name,
+	fields := []any{"request", d.request.info.ID, "route", d.request.route.Name,
 		"target", s.Target.ID, "prompt", d.request.work.Prompt,
 		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(),
 		"backlog", s.LongPool.PrefillBacklog.String(),
 		"outcome", r.outcome.String(), "detail", r.detail, "begun", d.headWritten,
 		"framing", r.framing, "from", after, "event", d.lastEventID, "events", r.events,
 		"first", r.firstEvent.String(), "pause", r.longestGap.String(), "revision", d.request.view.Revision.String(),
-		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String())
+		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String()}
+	d.gateway.log.Info("Sent.", append(fields, d.gateway.shareFields(d.request)...)...)
 	tags := map[string]string{"outcome": r.outcome.String()}
 	d.gateway.metrics.Scope.Tagged(tags).Counter("sends").Inc(1)
 }
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -121,6 +121,7 @@
 	limitWaiting map[rtid.Service]int // requests that wait for a place at a limited target
 	leaves       rtnotice.Leaves
 	backoffs     rtnotice.Backoffs
+	sharing      sharing
 
 	noticeFindings, backoffLogs lineLimiter
 }
@@ -216,8 +217,10 @@
 
 // refuse logs and writes a refusal.
 func (g *Gateway) refuse(q *request, r *refusal) {
-	g.log.Info("Refused.", "request", q.info.ID, "status", r.status, "reason", r.reason,
-		"detail", r.detail, "prompt", q.work.Prompt, "after", r.retryAfter.String(), "version", configurationVersion(q.view), "took", time.Since(q.arrived).String())
+	fields := []any{"request", q.info.ID, "status", r.status, "reason", r.reason,
+		"detail", r.detail, "prompt", q.work.Prompt, "after", r.retryAfter.String(), "version", configurationVersion(q.view), "took", time.Since(q.arrived).String()}
+	g.noteRefusal(q, r)
+	g.log.Info("Refused.", append(fields, g.shareFields(q)...)...)
 	g.metrics.Scope.Tagged(map[string]string{"reason": r.reason}).Counter("refused").Inc(1)
 	r.write(q.w)
 }
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -36,6 +36,7 @@
 	// backoff is the time until the first target takes requests again, if there are
 	// only targets that want none; 0 if one of the others may become usable.
 	backoff time.Duration
+	held    bool // it could be sent, but leaves the room to other organisations
 }
 
 // place decides where the work of a request goes and whether to send it now. It
@@ -66,6 +67,11 @@
 	if !ok || placed.Decision != rtplacement.Send {
 		return placed, ok
 	}
+	if g.holds(q, work, placed, len(tried) == 0, now) {
+		placed.Decision, placed.held = rtplacement.Wait, true
+		return placed, true
+	}
+	g.recordUse(q, now)
 	g.recentSendsOf(placed.Target.ID).Add(now)
 	g.rateLimits.Take(placed.Target.Incarnation(), g.peers.Share(limitKey(placed.Target.ID)), now)
 	if placed.PartPrefill >= announcedPart {
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -107,6 +107,7 @@
 		Evidence: process.gateway,
 		Limits:   process.gateway,
 		Leaves:   process.gateway,
+		Shares:   process.gateway,
 		Log:      log,
 		Scope:    metrics.Scope,
 	})
