--- a/internal/rtshare/ledger.go
+++ b/internal/rtshare/ledger.go
@@ -27,12 +27,13 @@
 	// the interval at which waiting requests are tried.
 	snapshotValidity = 40 * time.Millisecond
 	// MaxReported is how many organisations a report names; the rest is summed up by
-	// service. MaxServices is for how many services a report has sums and scarcity.
+	// service.
 	MaxReported = 24
+	// MaxServices is for how many services a report has sums and scarcity.
 	MaxServices = 16
-	// maxPeers is how many reports are kept at most: the expected number of gateways in
-	// two years and a margin.
-	maxPeers = 4096
+	// maxPeers is how many reports are kept at most: a cell has 44 gateways, and more for a
+	// moment while cells change.
+	maxPeers = 256
 	// MaxUse is the largest plausible usage: that of 10,000 engines that are always busy.
 	MaxUse = 10_000 * 2 * halfLife
 	// negligible is the usage below which an account is dropped.
@@ -300,6 +301,9 @@
 	return max(0, capacity) / weights
 }
 
+// Rate returns the engine time that all have used in a second of late.
+func (s *Snapshot) Rate() float64 { return s.Total.Seconds() * math.Ln2 / halfLife.Seconds() }
+
 // Of returns how an organisation of a weight stands.
 func (s *Snapshot) Of(organisation rtid.Organisation, weight float64) Standing {
 	return Standing{Use: s.uses[organisation], Share: time.Duration(s.level * weight)}
