Schedule the return of refused callers

Cause: callers who are refused together get about the same delay, return together and are refused again.

Change: rtreturn gives each refused caller a time at which this gateway's part of the capacity that becomes free has room for its request. Known times (pauses, rate limits, stops, starts) are given as before, and plain services keep their delay. Off unless [returns] is enabled.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -351,7 +351,7 @@
 	}
 	switch outcome := d.attempts.Outcome(); {
 	case outcome == rtdelivery.NotRun:
-		return notRun(reason, min(d.gateway.retryAfter(delay), d.maxRetryDelay()))
+		return notRun(reason, min(d.gateway.retryAfter(d.returnDelay(reason, delay)), d.maxRetryDelay()))
 	case outcome == rtdelivery.RanAndFailed && d.failedResponse != nil:
 		d.failedResponse.write(d.request.w)
 		return nil
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtnotice"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtreturn"
 )
 
 // Settings are the settings of a gateway at its start. SetBounds changes
@@ -122,6 +123,7 @@
 	leaves       rtnotice.Leaves
 	backoffs     rtnotice.Backoffs
 	sharing      sharing
+	returns      map[rtid.Service]*rtreturn.Schedule
 
 	noticeFindings, backoffLogs lineLimiter
 }
@@ -153,6 +155,7 @@
 		checks:       make(map[rtid.Target]*targetCheck),
 		limitLogs:    make(map[rtid.Target]limitLog),
 		limitWaiting: make(map[rtid.Service]int),
+		returns:      make(map[rtid.Service]*rtreturn.Schedule),
 	}
 }
 
--- a/internal/rtgateway/share.go
+++ b/internal/rtgateway/share.go
@@ -63,6 +63,16 @@
 	return q.service != nil && g.features(q.view).Shares.Enabled
 }
 
+// usageOn reports whether the usage of organisations is recorded: shares and the times at
+// which refused callers return follow from it.
+func (g *Gateway) usageOn(q *request) bool {
+	if q.service == nil {
+		return false
+	}
+	features := g.features(q.view)
+	return features.Shares.Enabled || features.Returns.Enabled
+}
+
 // standing returns how the organisation of a request stands. The caller holds mu.
 func (g *Gateway) standing(service rtid.Service, organisation rtid.Organisation, configuration *rtcatalog.Configuration, now time.Time) rtshare.Standing {
 	snapshot := g.sharing.ledger.Snapshot(service, configuration.Weight, now)
@@ -97,7 +107,7 @@
 
 // recordUse records that a request is sent. The caller holds mu.
 func (g *Gateway) recordUse(q *request, now time.Time) {
-	if !g.sharesOn(q) {
+	if !g.usageOn(q) {
 		return
 	}
 	organisation, engineTime := q.sharesName(), q.engineTime()
@@ -250,7 +260,7 @@
 // noteRefusal records a refusal for lack of capacity. It adds no usage, so that a caller
 // that returns at once gains and loses nothing.
 func (g *Gateway) noteRefusal(q *request, r *refusal) {
-	if !lackReasons[r.reason] || !g.sharesOn(q) {
+	if !lackReasons[r.reason] || !g.usageOn(q) {
 		return
 	}
 	g.mu.Lock()
@@ -294,7 +304,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	scarce := g.sharing.ledger.ScarceHere(time.Now())
-	if g.settings.Features.Shares.Enabled {
+	if features := g.settings.Features; features.Shares.Enabled || features.Returns.Enabled {
 		g.metrics.Scope.Gauge("scarce_services").Update(float64(len(scarce)))
 	}
 	return scarce
@@ -302,7 +312,7 @@
 
 // SetPeerUses records what a peer reports.
 func (g *Gateway) SetPeerUses(peer rtid.VM, uses []rtshare.Use, scarce []rtid.Service) {
-	if !g.settings.Features.Shares.Enabled {
+	if features := g.settings.Features; !features.Shares.Enabled && !features.Returns.Enabled {
 		return
 	}
 	g.mu.Lock()
--- a/internal/rtgateway/share_test.go
+++ b/internal/rtgateway/share_test.go
@@ -80,6 +80,33 @@
 	}
 }
 
+// reportLoad reports, until the returned function is called, a backlog below what admission
+// allows and above half of it, and if capacity is to be scarce the uses of a peer.
+func reportLoad(b *testbed, scarce bool) (stop func()) {
+	stopped := make(chan struct{})
+	var reports sync.WaitGroup
+	reports.Go(func() {
+		for {
+			fillEngines(b, 200*time.Millisecond)
+			if scarce {
+				b.gateway.SetPeerUses("peer", []rtshare.Use{
+					{Service: "work", Organisation: "noisy", Time: 20 * time.Second},
+					{Service: "work", Organisation: "court", Waiting: true},
+				}, []rtid.Service{"work"})
+			}
+			select {
+			case <-stopped:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	})
+	return func() {
+		close(stopped)
+		reports.Wait()
+	}
+}
+
 // Guards against an organisation over its share that is held although it would be refused
 // then, or although its requests could be sent in calm.
 func TestHeldRequestIsSentInTime(t *testing.T) {
@@ -96,29 +123,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			withTestbed(t, 6, func(b *testbed) {
 				useShares(b, true)
-				stop := make(chan struct{})
-				var reports sync.WaitGroup
-				reports.Go(func() {
-					for {
-						fillEngines(b, 200*time.Millisecond) // below what admission allows, above half of it
-						if test.scarce {
-							b.gateway.SetPeerUses("peer", []rtshare.Use{
-								{Service: "work", Organisation: "noisy", Time: 20 * time.Second},
-								{Service: "work", Organisation: "court", Waiting: true},
-							}, []rtid.Service{"work"})
-						}
-						select {
-						case <-stop:
-							return
-						case <-time.After(100 * time.Millisecond):
-						}
-					}
-				})
+				stop := reportLoad(b, test.scarce)
 				time.Sleep(10 * time.Millisecond)
 				started := time.Now()
 				got := b.call(http.MethodPost, "/once/x", headers("id-1", "Size", "60000", "Key", "loud"), "")
-				close(stop)
-				reports.Wait()
+				stop()
 				runs := b.allRuns()
 				if got.status != http.StatusOK || len(runs) != 1 {
 					b.t.Fatalf("got status %d, runs %s", got.status, describe(runs))
