Hold requests at plain services only while their slots are taken

Cause: a plain service has no backlog, so an organisation over its share was held only behind requests that wait here, which is rare.

Change: a placement at a plain service names the requests at its target, and a request of an organisation over its share waits up to half of its latency SLO while all slots are taken.

--- a/internal/rtgateway/share_test.go
+++ b/internal/rtgateway/share_test.go
@@ -143,3 +143,49 @@
 		})
 	}
 }
+
+// Guards against an organisation over its share that takes the last places at the targets
+// of a plain service, and against one that waits for longer than half of its latency SLO
+// or where there is room.
+func TestHoldAtPlainService(t *testing.T) {
+	tests := []struct {
+		name     string
+		key      string
+		requests int // at each target, which has 16 slots
+		want     time.Duration
+	}{
+		{"over its share, full", "loud", 16, 160 * time.Millisecond},
+		{"over its share, room", "loud", 15, 0},
+		{"within its share, full", "key", 16, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, 2, func(b *testbed) {
+				useShares(b, true)
+				b.view.Configuration.Services[0].Engine = nil
+				loads := make(map[rtid.Target]rtplacement.Load)
+				for _, target := range b.targets {
+					loads[target.id] = rtplacement.Load{Requests: test.requests}
+				}
+				b.gateway.SetPeerLoads("peer", loads)
+				b.gateway.SetPeerUses("peer", []rtshare.Use{
+					{Service: "work", Organisation: "noisy", Time: 20 * time.Millisecond},
+					{Service: "work", Organisation: "court", Waiting: true},
+				}, []rtid.Service{"work"})
+				// The latency SLO is 300 ms, and requests are tried each 40 ms.
+				for i := range b.view.Configuration.Routes {
+					b.view.Configuration.Routes[i].LatencySLO = 300 * time.Millisecond
+				}
+				started := time.Now()
+				got := b.call(http.MethodPost, "/safe/x", headers("id-1", "Key", test.key), "")
+				runs := b.allRuns()
+				if got.status != http.StatusOK || len(runs) != 1 {
+					b.t.Fatalf("got status %d, runs %s", got.status, describe(runs))
+				}
+				if waited := runs[0].at.Sub(started); (waited - test.want).Abs() > 20*time.Millisecond {
+					b.t.Errorf("sent after %v, want %v", waited, test.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/rtplacement/place.go
+++ b/internal/rtplacement/place.go
@@ -305,5 +305,5 @@
 	best := slices.MinFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Load.Requests, b.Load.Requests), cmp.Compare(a.RoundTrip, b.RoundTrip), cmp.Compare(a.TieBreak, b.TieBreak))
 	})
-	return Placement{Target: best.Instance}, true
+	return Placement{Target: best.Instance, Requests: float64(best.Load.Requests)}, true
 }
