--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/rhubarbtally/rhubarbtally/internal/rtoutlier"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtplacement"
 	"github.com/rhubarbtally/rhubarbtally/internal/rtquarantine"
+	"github.com/rhubarbtally/rhubarbtally/internal/rtreturn"
 )
 
 // Settings are the settings of a gateway at its start. SetBounds changes
@@ -130,6 +131,8 @@
 	leaves       rtnotice.Leaves
 	backoffs     rtnotice.Backoffs
 	forecasts    rtforecast.Estimator
+	sharing      sharing
+	returns      map[rtid.Service]*rtreturn.Schedule
 
 	outliers       rtoutlier.Tracker
 	helperRefusals rthelper.Refusals
@@ -165,6 +168,7 @@
 		checks:       make(map[rtid.Target]*targetCheck),
 		limitLogs:    make(map[rtid.Target]limitLog),
 		limitWaiting: make(map[rtid.Service]int),
+		returns:      make(map[rtid.Service]*rtreturn.Schedule),
 	}
 }
 
@@ -230,8 +234,10 @@
 
 // refuse logs and writes a refusal.
 func (g *Gateway) refuse(q *request, r *refusal) {
-	g.log.Info("Refused.", "request", q.info.ID, "status", r.status, "reason", r.reason,
-		"detail", r.detail, "prompt", q.work.Prompt, "after", r.retryAfter.String(), "version", configurationVersion(q.view), "took", time.Since(q.arrived).String())
+	fields := []any{"request", q.info.ID, "status", r.status, "reason", r.reason,
+		"detail", r.detail, "prompt", q.work.Prompt, "after", r.retryAfter.String(), "version", configurationVersion(q.view), "took", time.Since(q.arrived).String()}
+	g.noteRefusal(q, r)
+	g.log.Info("Refused.", append(fields, g.shareFields(q)...)...)
 	g.metrics.Scope.Tagged(map[string]string{"reason": r.reason}).Counter("refused").Inc(1)
 	r.write(q.w)
 }
--- a/internal/rtgateway/place.go
+++ b/internal/rtgateway/place.go
@@ -40,6 +40,7 @@
 	// to which its share of the cold rate allows less than one request a second; 0 for
 	// no such target.
 	shareWait time.Duration
+	held      bool // it could be sent, but leaves the room to other organisations
 }
 
 // place decides where the work of a request goes and whether to send it now. It
@@ -70,6 +71,11 @@
 	if !ok || placed.Decision != rtplacement.Send {
 		return placed, ok
 	}
+	if g.holds(q, work, placed, len(tried) == 0, now) {
+		placed.Decision, placed.held = rtplacement.Wait, true
+		return placed, true
+	}
+	g.recordUse(q, now)
 	g.recentSendsOf(placed.Target.ID).Add(now)
 	g.rateLimits.Take(placed.Target.Incarnation(), g.peers.Share(limitKey(placed.Target.ID)), now)
 	if placed.PartPrefill >= announcedPart {
--- a/internal/rtpeer/codec.go
+++ b/internal/rtpeer/codec.go
@@ -110,6 +110,12 @@
 	w.Outcomes = wireOutcomes(d.Outcomes)
 	w.Refusals = wireRefusals(d.Refusals)
 	w.Forecasts = wireForecasts(d.Forecasts)
+	for _, u := range d.Uses {
+		w.Uses = append(w.Uses, &rtwire.OrganisationUse{Service: string(u.Service), Organisation: string(u.Organisation), Use: u.Use, Waiting: u.Waiting})
+	}
+	for _, service := range d.Scarce {
+		w.Scarce = append(w.Scarce, string(service))
+	}
 	return w, nil
 }
 
@@ -143,6 +149,14 @@
 	d.Outcomes = outcomesFrom(w.GetOutcomes())
 	d.Refusals = refusalsFrom(w.GetRefusals())
 	d.Forecasts = forecastsFrom(w.GetForecasts())
+	for _, u := range w.GetUses() {
+		d.Uses = append(d.Uses, reportedUse{
+			Service: rtid.Service(u.GetService()), Organisation: rtid.Organisation(u.GetOrganisation()), Use: u.GetUse(), Waiting: u.GetWaiting(),
+		})
+	}
+	for _, service := range w.GetScarce() {
+		d.Scarce = append(d.Scarce, rtid.Service(service))
+	}
 	return d
 }
 
--- a/internal/rtpeer/digest.go
+++ b/internal/rtpeer/digest.go
@@ -39,6 +39,8 @@
 	Outcomes   []rtoutlier.Report           `json:"-"`                 // in the binary encoding only
 	Refusals   []reportedRefusal            `json:"-"`                 // at most maxReportedRefusals
 	Forecasts  []rtforecast.Figure          `json:"-"`                 // at most rtforecast.MaxFigures; sent in the binary encoding only
+	Uses       []reportedUse                `json:"-"`                 // of organisations; at most maxReportedUses
+	Scarce     []rtid.Service               `json:"-"`                 // services whose capacity is scarce
 	Codec      int                          `json:"codec,omitempty"`   // latest encoding that the sender reads
 }
 
@@ -122,6 +124,7 @@
 func (d digest) forOtherCells() digest {
 	d.Loads, d.Cooldowns = nil, nil
 	d.Outcomes, d.Refusals, d.Forecasts = nil, nil, nil
+	d.Uses, d.Scarce = nil, nil
 	return d
 }
 
@@ -141,6 +144,12 @@
 	return ownCell, otherCells
 }
 
+// cellPeers returns the number of known peers of the own cell.
+func (g *Group) cellPeers() int {
+	ownCell, _ := g.peerAddresses()
+	return len(ownCell)
+}
+
 // newDigest returns a digest of the current state. It lists a number of live peers.
 func (g *Group) newDigest(listed int) digest {
 	message := digest{
@@ -175,6 +184,7 @@
 	message.Leaving = g.localLeaves()
 	message.Outcomes = g.localOutcomes()
 	message.Refusals = g.localRefusals()
+	message.Uses, message.Scarce = g.localUses(g.cellPeers(), time.Now())
 	return message
 }
 
@@ -311,6 +321,7 @@
 	g.setOutcomes(message.VM, message.Outcomes)
 	g.mergeRefusals(message.Refusals, message.VM, delay)
 	g.mergeForecasts(message, delay)
+	g.mergeUses(message)
 	ownRevision := g.options.Feed.Revision()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rtprogram/gateway.go
+++ b/internal/rtprogram/gateway.go
@@ -110,6 +110,7 @@
 		Outcomes:  process.gateway,
 		Refusals:  process.gateway,
 		Forecasts: process.gateway,
+		Shares:    process.gateway,
 		Log:       log,
 		Scope:     metrics.Scope,
 	})
