Give no memory to a request whose connection has been closed

Cause: a connection that is closed for a new one ends its draw. If its header was waiting for memory at that moment, it got some afterwards, which nobody returned.

Change: an ended draw counts as evicted. TestEndedRequestGetsNoMemory failed before and passes now.

--- a/internal/rtintake/budget.go
+++ b/internal/rtintake/budget.go
@@ -109,9 +109,11 @@
 	d.held = 0
 }
 
-// End ends a draw whose connection is idle or closed.
+// End ends a draw whose connection is idle or closed. A request that still waits for
+// memory gets none.
 func (b *Budget) End(d *Draw) {
 	b.Return(d)
+	d.evicted = true
 	delete(b.draws, d)
 }
 
--- a/internal/rtintake/budget_test.go
+++ b/internal/rtintake/budget_test.go
@@ -328,3 +328,20 @@
 		})
 	}
 }
+
+// Guards against memory that is never returned: a request whose connection is closed for
+// another one, while it waits for memory, must not get any afterwards.
+func TestEndedRequestGetsNoMemory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	budget := &Budget{Limit: piece}
+	sent, waiting := budget.Begin("a", now), budget.Begin("b", now)
+	budget.Take(sent, piece, now)
+	if budget.Take(waiting, piece, now) {
+		t.Fatal("got memory over the limit")
+	}
+	budget.End(waiting)
+	budget.End(sent)
+	if budget.Take(waiting, piece, now) || budget.Send(waiting, now) || budget.Used() != 0 {
+		t.Errorf("a request that has ended got memory or may be sent; %d bytes are used, want none", budget.Used())
+	}
+}
