Hold short prompts for others only while all slots are taken

Waiting long prompts made the service scarce, and the backlog of their engines then held the short prompts of large organisations for half of their latency SLO, though these use other engines. Long prompts were held until just before their predicted latency SLO, which real first events miss.

Short prompts are now held only while their target has no free slot, and long ones for half of the time that is left.

--- a/internal/rtgateway/share.go
+++ b/internal/rtgateway/share.go
@@ -93,13 +93,18 @@
 	offer := rtshare.Offer{
 		Waited:    work.Waited,
 		LatestSLO: min(work.LatencySLO, work.AbandonTimeout) / 2,
-		Backlog:   placed.PrefillBacklog,
-		Allowed:   placed.AllowedBacklog(),
 		Full:      placed.Target.Slots > 0 && placed.Requests >= float64(placed.Target.Slots),
 	}
-	if q.service.Engine != nil && !work.Interactive() {
-		offer.Backlog = max(offer.Backlog, placed.LongPool.PrefillBacklog)
-		offer.LatestSLO = placed.LatestInTime(work) - admitInterval
+	if q.service.Engine != nil && work.Interactive() {
+		// Long prompts wait for the engines of another pool, so their wait and their
+		// backlog are no reason to hold a short prompt.
+		return rtshare.Hold(offer, false)
+	}
+	if q.service.Engine != nil {
+		offer.Backlog = max(placed.PrefillBacklog, placed.LongPool.PrefillBacklog)
+		offer.Allowed = placed.AllowedBacklog()
+		// Half of the time that is left is kept for predictions that are too low.
+		offer.LatestSLO = (placed.LatestInTime(work) - admitInterval) / 2
 	}
 	waiter := &rtshare.Waiter{Rank: q.priority(), Organisation: organisation}
 	return rtshare.Hold(offer, g.sharing.queueOf(q.service.Name).OthersWait(waiter))
