Send enough requests to see a target that is back in use

TestTargetStartsAgainUnderItsID failed 6 times in 1,500 runs of its three cases: of two equal targets one is drawn at random for each request, and ten draws miss one of them once in 1,024 (4.4 expected). With 40 requests that takes 10^12 runs; the condition that is checked stays.

--- a/internal/rtgateway/incarnation_test.go
+++ b/internal/rtgateway/incarnation_test.go
@@ -34,7 +34,9 @@
 				b.targets[0].born = 2
 				b.publish(newConfiguration(2))
 				before := len(b.allRuns())
-				for i := range 10 {
+				// Which of two equal targets gets a request is drawn at random, so that the
+				// sound one might get all of a few.
+				for i := range 40 {
 					b.call(http.MethodPost, "/safe/x", headers(fmt.Sprint("again-", i)), "")
 				}
 				served := make(map[rtid.Target]int)
