Send an extra attempt when the first target is slow

With hedging.ratio above 0, a second target gets the request when the first has not begun to answer for longer than 0.95 of its kind, within a budget inside the retry budget. The first whole event, or whole plain response, is passed on and the other exchange is closed. Off by default; then no request takes another path than before.

--- a/internal/rtdelivery/attemptstate.go
+++ b/internal/rtdelivery/attemptstate.go
@@ -130,6 +130,15 @@
 	}
 }
 
+// RecordExtra counts an attempt that was made beside the current one and whose answer is
+// not passed on. It is no loss: either it was cancelled, or the current one follows it.
+func (s *AttemptState) RecordExtra(mayHaveRun bool) {
+	s.attempts++
+	if mayHaveRun {
+		s.outcome = max(s.outcome, Unknown)
+	}
+}
+
 // mayRetry reports whether another attempt may follow the last one.
 func (s *AttemptState) mayRetry() bool {
 	switch s.lastOutcome {
--- a/internal/rtexchange/budget.go
+++ b/internal/rtexchange/budget.go
@@ -39,9 +39,8 @@
 	return true
 }
 
-// ReadAll reads the body to its end. It fails if the body is longer than limit
-// bytes, or if the budget, which may be nil, does not allow for it.
-func (r *Response) ReadAll(limit int64, budget *Budget) ([]byte, error) {
+// readAll is ReadAll without what was read ahead.
+func (r *Response) readAll(limit int64, budget *Budget) ([]byte, error) {
 	r.budget = budget
 	var body []byte
 	for {
--- a/internal/rtexchange/events.go
+++ b/internal/rtexchange/events.go
@@ -36,11 +36,8 @@
 	HasData bool
 }
 
-// NextEvent returns the next complete event. It returns io.EOF if the stream
-// ended after a complete event, and ErrTruncated if it ended inside one. Empty
-// lines alone are no event, except at the end of the stream. It fails if the
-// budget, which may be nil, does not allow for the event.
-func (r *Response) NextEvent(budget *Budget) (Event, error) {
+// readEvent is NextEvent without what was read ahead.
+func (r *Response) readEvent(budget *Budget) (Event, error) {
 	r.budget = budget
 	var event Event
 	lineStart := 0   // in event.Bytes; a line may be longer than the buffer of the body
@@ -109,6 +106,9 @@
 // EventBuffered reports whether a complete event was received and not read, so
 // that NextEvent returns without waiting.
 func (r *Response) EventBuffered() bool {
+	if len(r.ahead.events) > 0 {
+		return true
+	}
 	received, err := r.Body.Peek(r.Body.Buffered())
 	if err != nil {
 		return false
--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -85,6 +85,7 @@
 	reserved    int64   // bytes taken from budget
 	hasLine     bool    // a line of a stream has been read
 	insideEvent bool    // a part of an event has been read, and its rest cannot be
+	ahead       readAhead
 }
 
 // Close closes the connection. If the response is not complete, the target sees
--- a/internal/rtgateway/cooldown.go
+++ b/internal/rtgateway/cooldown.go
@@ -46,6 +46,7 @@
 	duration := minCooldown << min(c.failures-1, 4)
 	c.until = now.Add(min(duration, maxCooldown))
 	g.cooldowns[target] = c
+	g.recordZoneLoss(target, now)
 	g.log.Info("Target avoided.", "target", target, "reason", reason, "failures", c.failures, "for", c.until.Sub(now).String())
 }
 
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -65,6 +65,7 @@
 	inPlaceQueue   bool                // it waits for a place at a target that limits its rate
 	memoryAwaited  bool                // the current attempt needed memory at other engines
 	turn           turn                // among the requests that wait for room
+	extra          string              // how the extra attempt beside the current one ended; empty for none
 	probe          bool                // it shows whether a part in quarantine still crashes targets
 }
 
@@ -116,6 +117,7 @@
 // caller has a response or has disconnected.
 func (d *delivery) run(ctx context.Context) *refusal {
 	d.gateway.countRequest(d.request.service.Name)
+	d.gateway.recordHedgeRequest(d.request)
 	defer d.dropSuccessor()
 	defer d.dropReplaced()
 	defer d.dropFailedResponse()
@@ -255,11 +257,13 @@
 // Attempt sends the request to the selected target and relays the answer.
 func (d *delivery) Attempt(ctx context.Context) rtdelivery.AttemptOutcome {
 	sent, after := time.Now(), d.lastEventID
+	d.extra = ""
 	attempted := d.send(ctx, d.scheduled.Placement, d.scheduled.inFlight)
 	d.gateway.recordOutcome(d.scheduled.Target, attempted)
 	if d.replaced == nil {
 		d.gateway.finish(d.scheduled.inFlight)
 	}
+	d.recordLatency(attempted, time.Since(sent), after)
 	d.logAttempt(d.scheduled, attempted, sent, after)
 	d.lastDetail = attempted.detail
 	switch attempted.outcome {
@@ -402,7 +406,7 @@
 		"target", s.Target.ID, "prompt", d.request.work.Prompt,
 		"helpers", len(s.Helpers), "predicted", s.PredictedFirstEvent.String(), "corrected", s.Corrected.String(),
 		"backlog", s.LongPool.PrefillBacklog.String(),
-		"outcome", r.outcome.String(), "detail", r.detail, "replaced", r.replaced, "begun", d.headWritten,
+		"outcome", r.outcome.String(), "detail", r.detail, "replaced", r.replaced, "extra", d.extra, "begun", d.headWritten,
 		"framing", r.framing, "from", after, "event", d.lastEventID, "events", r.events,
 		"first", r.firstEvent.String(), "pause", r.longestGap.String(), "revision", d.request.view.Revision.String(),
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String()}
@@ -436,18 +440,24 @@
 		}
 	}
 	sent := time.Now()
-	response, err := rtexchange.Send(ctx, d.gateway.network, placement.Target.Address, d.targetMessage(placement, reserved))
+	var response *rtexchange.Response
+	var info ResponseInfo
+	if delay, hedged := d.hedgeDelay(reserved); hedged {
+		chosen, other := d.exchangeHedged(ctx, delay, guard)
+		defer chosen.cancel(nil)
+		if other != nil {
+			defer other.close()
+		}
+		d.scheduled, placement, inFlight = chosen.scheduled, chosen.scheduled.Placement, chosen.scheduled.inFlight
+		sent, response, info, err = chosen.sent, chosen.response, chosen.info, chosen.err
+	} else if response, err = rtexchange.Send(ctx, d.gateway.network, placement.Target.Address, d.targetMessage(placement, reserved)); err == nil {
+		info = d.received(placement.Target, response, sent)
+	}
 	if err != nil {
 		return d.exchangeFailed(ctx, placement.Target, err)
 	}
 	defer response.Close()
-	d.gateway.recordResponse(placement.Target.ID)
-	info := d.gateway.dialect.ParseResponse(response.Status, response.Header)
-	d.gateway.recordNotices(placement.Target, response.Status, info)
 	own := info.Request == d.request.info.ID
-	if own || info.NotRun && response.Status != http.StatusMisdirectedRequest {
-		d.gateway.recordRateLimit(placement.Target, info, own && info.Stamped, sent)
-	}
 	switch {
 	case !own && info.Request != "":
 		// Also a refusal says nothing about this request, which may be running.
@@ -471,6 +481,18 @@
 	return relay.forward(ctx)
 }
 
+// received records what a response that has just arrived says of its target.
+func (d *delivery) received(target *rtcatalog.Instance, response *rtexchange.Response, sent time.Time) ResponseInfo {
+	d.gateway.recordResponse(target.ID)
+	info := d.gateway.dialect.ParseResponse(response.Status, response.Header)
+	d.gateway.recordNotices(target, response.Status, info)
+	own := info.Request == d.request.info.ID
+	if own || info.NotRun && response.Status != http.StatusMisdirectedRequest {
+		d.gateway.recordRateLimit(target, info, own && info.Stamped, sent)
+	}
+	return info
+}
+
 // unreservedOutcome returns the outcome of an attempt that got no memory for its
 // prompt. A new request is refused, so that its caller can come back; an answer
 // that has begun is continued with the memory of other engines, and an attempt
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -132,6 +132,7 @@
 	backoffs     rtnotice.Backoffs
 	forecasts    rtforecast.Estimator
 	sharing      sharing
+	hedging      hedging
 	returns      map[rtid.Service]*rtreturn.Schedule
 
 	outliers       rtoutlier.Tracker
--- a/internal/rthedge/decision.go
+++ b/internal/rthedge/decision.go
@@ -4,12 +4,12 @@
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
-	"github.com/rhubarbtally/rhubarbtally/internal/rtlimit"
 )
 
 const (
-	// budgetWindow is the time over which extra attempts are counted against requests.
-	budgetWindow = 10 * time.Second
+	// maxBurst limits the extra attempts that accumulate while none is needed, so that
+	// requests of calm times pay for few in a burst, in which they harm most.
+	maxBurst = 2.0
 	// maxBacklog is the mean backlog of the engines above which they are the cause of slow
 	// answers, and an extra attempt makes all of them slower.
 	maxBacklog = 100 * time.Millisecond
@@ -40,12 +40,15 @@
 	RetriesSpare bool
 }
 
+// HasRoom reports whether engines with a mean backlog can take an extra attempt.
+func HasRoom(backlog time.Duration) bool { return backlog <= maxBacklog }
+
 // Decide decides about an extra attempt, but for its budget.
 func (s Situation) Decide() Decision {
 	switch {
 	case !s.Repeatable || s.Begun || s.LastChance || s.Prompt > MaxPrompt:
 		return Impossible
-	case s.Waiting || s.Backlog > maxBacklog:
+	case s.Waiting || !HasRoom(s.Backlog):
 		return Loaded
 	case !s.RetriesSpare:
 		return OverBudget
@@ -54,26 +57,22 @@
 	}
 }
 
-// Budget limits the extra attempts of one service in one process: Ratio for each request
-// of the last 10 s. The zero value allows none.
+// Budget limits the extra attempts of one service in one process to a ratio of its
+// requests. It accumulates over time rather than in a window: one of many gateways gets
+// too few requests in a window for one extra attempt. The zero value allows none.
 type Budget struct {
-	Ratio float64
-
-	requests, extra rtlimit.Window
+	tokens float64 // extra attempts that may be made, in [0, maxBurst]
 }
 
-// RecordRequest counts a request.
-func (b *Budget) RecordRequest(now time.Time) {
-	b.requests.Span = budgetWindow
-	b.requests.Add(now)
-}
+// RecordRequest counts a request, which allows ratio extra attempts.
+func (b *Budget) RecordRequest(ratio float64) { b.tokens = min(maxBurst, b.tokens+max(0, ratio)) }
 
 // Take takes one extra attempt. It reports false if the budget is exhausted.
-func (b *Budget) Take(now time.Time) bool {
-	b.requests.Span, b.extra.Span = budgetWindow, budgetWindow
-	if float64(b.extra.Count(now)+1) > b.Ratio*float64(b.requests.Count(now)) {
+func (b *Budget) Take() bool {
+	const almostOne = 1 - 1e-9 // rounding must not cost an attempt
+	if b.tokens < almostOne {
 		return false
 	}
-	b.extra.Add(now)
+	b.tokens = max(0, b.tokens-1)
 	return true
 }
