--- a/internal/rtgateway/intake.go
+++ b/internal/rtgateway/intake.go
@@ -30,14 +30,14 @@
 	// takes up to discardTimeout.
 	maxDiscards = 64
 	// intakeReportInterval is the least time between two log lines about callers that
-	// gave way, and between two updates of the gauges.
+	// evictions, and between two updates of the gauges.
 	intakeReportInterval = time.Second
 	// bodyPiece is the size of the pieces of a body but for the first two.
 	bodyPiece = 64 << 10
 )
 
 // errEvicted means that a request has given way to others. Nothing of it was sent.
-var errEvicted = errors.New("gave way to other requests")
+var errEvicted = errors.New("evicted in favour of other requests")
 
 // connectionUse is what a connection uses of the intake.
 type connectionUse struct {
@@ -472,10 +472,10 @@
 // count counts a request or connection that has given way.
 func (i *intake) count(cause string) {
 	i.events[cause]++
-	i.metrics.Scope.Tagged(map[string]string{"cause": cause}).Counter("gave_way").Inc(1)
+	i.metrics.Scope.Tagged(map[string]string{"cause": cause}).Counter("evictions").Inc(1)
 }
 
-// report updates the gauges and logs what gave way, at most once in an interval.
+// report updates the gauges and logs what was evicted, at most once in an interval.
 func (i *intake) report(now time.Time) {
 	if now.Sub(i.reported) < intakeReportInterval {
 		return
@@ -486,7 +486,7 @@
 	i.metrics.Scope.Gauge("intake_largest_holder").Update(float64(largest))
 	i.metrics.Scope.Gauge("caller_connections").Update(float64(i.connections.Count()))
 	if len(i.events) > 0 {
-		i.log.Info("Callers gave way.", "causes", i.events, "bytes", i.budget.Used(), "largest", largest, "connections", i.connections.Count())
+		i.log.Info("Requests and connections evicted.", "causes", i.events, "bytes", i.budget.Used(), "largest", largest, "connections", i.connections.Count())
 		i.events = make(map[string]int)
 	}
 }
--- a/internal/rtintake/budget.go
+++ b/internal/rtintake/budget.go
@@ -20,10 +20,10 @@
 // Held returns the bytes that the request holds.
 func (d *Draw) Held() int64 { return d.held }
 
-// Evicted reports whether the request must give way.
+// Evicted reports whether the request has been evicted.
 func (d *Draw) Evicted() bool { return d.evicted }
 
-// Cause is why a request gives way.
+// Cause is why a request is evicted.
 type Cause int
 
 // The causes.
@@ -117,12 +117,12 @@
 	delete(b.draws, d)
 }
 
-// MakeRoom decides which request gives way to the one that has waited longest, and marks
+// MakeRoom decides which request is evicted for the one that has waited longest, and marks
 // it. It returns nil while that one should go on waiting.
 //
 // It addresses crowds whose bodies exceed the memory: those that stop short of their
 // end (Stalled), those that trickle (Slow), and those that all arrive at full speed
-// (Largest). Of the last, the newest of the holder that holds most gives way, so that
+// (Largest). Of the last, the newest of the holder that holds most is evicted, so that
 // the oldest completes.
 func (b *Budget) MakeRoom(now time.Time) (*Draw, Cause) {
 	var first *Draw
--- a/internal/rtintake/limits.go
+++ b/internal/rtintake/limits.go
@@ -87,13 +87,13 @@
 	StallTime = time.Second
 	// slowAfter is when the mean rate of a body is first judged.
 	slowAfter = 2 * time.Second
-	// minRate is the mean rate in bytes per second under which a body gives way. A body
+	// minRate is the mean rate in bytes per second under which a body may be evicted. A body
 	// of the published limit at this rate takes 32 s, longer than the default deadline.
 	minRate = 128 << 10
 	// yieldTime is how long bodies that make progress are left alone while others wait:
 	// the shortest latency SLO, in which requests that have been sent may end.
 	yieldTime = 300 * time.Millisecond
-	// smallDraw is what a request may draw without being asked to give way to others of
+	// smallDraw is what a request may draw without being evicted in favour of others of
 	// its holder: the header of the published limit.
 	smallDraw = 16_384 * HeaderCost
 )
