--- a/internal/rtgateway/intake.go
+++ b/internal/rtgateway/intake.go
@@ -16,7 +16,7 @@
 
 const (
 	reasonEvicted = "too many bodies"
-	// evictedRetryDelay is the retry delay of callers whose body has given way: until
+	// evictedRetryDelay is the retry delay of callers whose body was evicted: until
 	// then bodies without progress are found and others have been sent.
 	evictedRetryDelay = rtintake.StallTime
 	// memoryPollInterval is how often a request that waits for memory looks for bodies
@@ -36,7 +36,7 @@
 	bodyPiece = 64 << 10
 )
 
-// errEvicted means that a request has given way to others. Nothing of it was sent.
+// errEvicted means that a request was evicted in favour of others. Nothing of it was sent.
 var errEvicted = errors.New("evicted in favour of other requests")
 
 // connectionUse is what a connection uses of the intake.
@@ -469,7 +469,7 @@
 	i.discards--
 }
 
-// count counts a request or connection that has given way.
+// count counts an evicted request or connection.
 func (i *intake) count(cause string) {
 	i.events[cause]++
 	i.metrics.Scope.Tagged(map[string]string{"cause": cause}).Counter("evictions").Inc(1)
