--- a/internal/rtshare/replay_test.go
+++ b/internal/rtshare/replay_test.go
@@ -260,9 +260,9 @@
 			if after.idle > before.idle {
 				t.Errorf("engines were idle in %d steps while requests waited, in %d without the part", after.idle, before.idle)
 			}
-			// The first of the others may be served early where they could have waited,
-			// so that less is left for the time after a burst.
-			if served, want := after.total().served, before.total().served*95/100; served < want {
+			// Sharing moves room between organisations, so about as many requests must be
+			// served in all.
+			if served, want := after.total().served, before.total().served*98/100; served < want {
 				t.Errorf("served %d requests, %d without the part", served, before.total().served)
 			}
 		})
