Name the organisation in the lines of each request

Sent. and Refused. named the organisation only where fair shares were on and capacity was scarce, so an operator could not see whose requests wait and are refused elsewhere. Both lines now end with it always; use and share follow as before.

--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -410,7 +410,7 @@
 		"framing", r.framing, "from", after, "event", d.lastEventID, "events", r.events,
 		"first", r.firstEvent.String(), "pause", r.longestGap.String(), "revision", d.request.view.Revision.String(),
 		"waited", sent.Sub(d.request.arrived).String(), "took", time.Since(sent).String()}
-	d.gateway.log.Info("Sent.", append(fields, d.gateway.shareFields(d.request)...)...)
+	d.gateway.log.Info("Sent.", append(fields, d.gateway.organisationFields(d.request)...)...)
 	tags := map[string]string{"outcome": r.outcome.String()}
 	d.gateway.metrics.Scope.Tagged(tags).Counter("sends").Inc(1)
 }
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -238,7 +238,7 @@
 	fields := []any{"request", q.info.ID, "status", r.status, "reason", r.reason,
 		"detail", r.detail, "prompt", q.work.Prompt, "after", r.retryAfter.String(), "version", configurationVersion(q.view), "took", time.Since(q.arrived).String()}
 	g.noteRefusal(q, r)
-	g.log.Info("Refused.", append(fields, g.shareFields(q)...)...)
+	g.log.Info("Refused.", append(fields, g.organisationFields(q)...)...)
 	g.metrics.Scope.Tagged(map[string]string{"reason": r.reason}).Counter("refused").Inc(1)
 	r.write(q.w)
 }
--- a/internal/rtgateway/share.go
+++ b/internal/rtgateway/share.go
@@ -280,20 +280,25 @@
 	"overloaded": true, "no room in time": true, "target refused": true, "no memory for the prompt": true, reasonRateLimit: true,
 }
 
-// shareFields returns log fields about the organisation of a request, none unless
-// capacity is scarce.
-func (g *Gateway) shareFields(q *request) []any {
+// organisationFields returns log fields about who sent a request: the organisation, and
+// how it stands where fair shares decide because capacity is scarce.
+func (g *Gateway) organisationFields(q *request) []any {
+	var name rtid.Organisation // empty before it is known, and on public routes
+	if q.organisation != nil {
+		name = q.organisation.Name
+	}
+	fields := []any{"organisation", name}
 	if !g.sharesOn(q) {
-		return nil
+		return fields
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	if !g.sharing.ledger.Scarce(q.service.Name, now) {
-		return nil
+		return fields
 	}
 	standing := g.standing(q.service.Name, q.sharesName(), q.view.Configuration, now)
-	return []any{"organisation", q.sharesName(), "use", standing.Use.String(), "share", standing.Share.String()}
+	return append(fields, "use", standing.Use.String(), "share", standing.Share.String())
 }
 
 // Uses returns what organisations have used through this process of services with scarce
