Play case 6 with a frozen gateway, too

The fault doesn't need a cut: a gateway that is frozen while the server crashes and starts again reads the end of the connection as late.

--- a/review/second/cutanswer.go
+++ b/review/second/cutanswer.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -101,6 +103,7 @@
 	if err != nil {
 		return err
 	}
+	freeze := os.Getenv("VARIANT") == "freeze" // of the gateway, in place of the cut
 	broken := 0
 	for round := range cutRounds {
 		var clients sync.WaitGroup
@@ -120,11 +123,16 @@
 		}
 		if w.trouble {
 			time.Sleep(time.Until(begin.Add(cutAt)))
-			w.note("link to the server is cut")
-			l.cut()
+			if freeze {
+				w.note("gateway is frozen")
+				_ = g.command.Process.Signal(syscall.SIGSTOP)
+			} else {
+				w.note("link to the server is cut")
+				l.cut()
+			}
 			time.Sleep(time.Until(begin.Add(crashAt)))
 			w.kill(server)
-			w.note("server %s has crashed behind the cut", id)
+			w.note("server %s has crashed", id)
 			time.Sleep(time.Until(begin.Add(rebornAt)))
 			old := id
 			id = fmt.Sprint("i-again-", round)
@@ -134,7 +142,8 @@
 			}
 			time.Sleep(time.Until(begin.Add(healAt)))
 			l.heal()
-			w.note("link works again")
+			_ = g.command.Process.Signal(syscall.SIGCONT)
+			w.note("link and gateway work again")
 			// The entry of a server that has crashed goes after three heartbeats.
 			time.Sleep(time.Until(begin.Add(crashAt + 3600*time.Millisecond)))
 			w.remove(old)
