--- a/review/second/starved.go
+++ b/review/second/starved.go
@@ -26,13 +26,14 @@
 	clients    int
 	body       int
 	deadline   time.Duration
-	kept       bool // the client keeps its channel
+	timeout    time.Duration // of the route
+	kept       bool          // the client keeps its channel
 	pause      time.Duration
 }
 
 var ordinaryKinds = []ordinaryKind{
-	{"filing-submit", "/filing/a", 6, 3600, 1500 * time.Millisecond, true, 200 * time.Millisecond},
-	{"day-transcript", "/stream/a", 6, 11_000, 10 * time.Second, true, 200 * time.Millisecond},
+	{"filing-submit", "/filing/a", 6, 3600, 1500 * time.Millisecond, 800 * time.Millisecond, true, 200 * time.Millisecond},
+	{"day-transcript", "/stream/a", 6, 11_000, 10 * time.Second, 10 * time.Second, true, 200 * time.Millisecond},
 }
 
 // tally counts the requests of one kind that are judged.
@@ -40,8 +41,21 @@
 	mu             sync.Mutex
 	sent, answered int
 	served         int // with the whole answer of a server
+	unanswered     int // at the timeout of the route
+	late           int // of these, half a second later
 }
 
+// lateAnswer is how long after the timeout of its route a request must have an answer
+// (CONFIG), and leastLate how many must have none.
+const (
+	lateAnswer = 500 * time.Millisecond
+	leastLate  = 8
+)
+
+// broken reports whether CONFIG is broken: more than half of the requests that are still
+// unanswered at their route's timeout have no answer half a second later.
+func (t *tally) broken() bool { return t.late >= leastLate && 2*t.late > t.unanswered }
+
 // ordinaryOf sends requests of one kind, one after the other, until a time.
 func (w *world) ordinaryOf(front string, kind ordinaryKind, counts *tally, judged func(time.Time) bool, end time.Time) {
 	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(w.host + ".50")}}
@@ -64,7 +78,7 @@
 		if got.err == nil {
 			got = readAnswer(reader, "POST")
 		}
-		counts.add(judged(sent), got)
+		counts.add(kind, judged(sent), time.Since(sent), got)
 		w.note("client: %s %s, sent at %.3f, after %.3f s: %d, %d bytes, error: %v", id, kind.name, sent.Sub(w.began).Seconds(), time.Since(sent).Seconds(), got.status, len(got.body), got.err)
 		if !kind.kept || got.err != nil {
 			_ = connection.Close()
@@ -74,7 +88,7 @@
 }
 
 // add counts a request.
-func (t *tally) add(judged bool, got answered) {
+func (t *tally) add(kind ordinaryKind, judged bool, took time.Duration, got answered) {
 	if !judged {
 		return
 	}
@@ -87,6 +101,12 @@
 	if got.status == 200 && got.whole {
 		t.served++
 	}
+	if took > kind.timeout {
+		t.unanswered++
+	}
+	if took > kind.timeout+lateAnswer {
+		t.late++
+	}
 }
 
 // runStarved plays a crowd that fits into the memory of the gateway, beside ordinary
@@ -116,8 +136,10 @@
 	clients.Wait()
 	broken := false
 	for i, kind := range ordinaryKinds {
-		w.note("%s: %d sent while the crowd was there, %d answered at all, %d served", kind.name, counts[i].sent, counts[i].answered, counts[i].served)
-		broken = broken || 2*counts[i].answered < counts[i].sent
+		c := &counts[i]
+		w.note("%s: %d sent while the crowd was there, %d answered at all, %d served; %d without an answer at %v, %d of these %v later",
+			kind.name, c.sent, c.answered, c.served, c.unanswered, kind.timeout, c.late, lateAnswer)
+		broken = broken || c.broken()
 	}
 	if broken {
 		return errBroken
