--- a/internal/rtgateway/request.go
+++ b/internal/rtgateway/request.go
@@ -96,7 +96,8 @@
 	route        *rtcatalog.Route
 	organisation *rtcatalog.Organisation // nil on public routes
 	service      *rtcatalog.Service
-	body         [][]byte // in pieces
+	body         [][]byte  // in pieces
+	whole        rtid.Part // see wholePart; empty until it is asked for
 	work         rtplacement.Work
 }
 
--- /dev/null
+++ b/internal/rtgateway/wholerequest.go
@@ -0,0 +1,41 @@
+package rtgateway
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+
+	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
+)
+
+// wholeRequestPrefix begins the part that stands for a whole request. IDs of the parts
+// of prompts contain no colon.
+const wholeRequestPrefix = "request:"
+
+// wholeRequestBytes is the length of the hash in that part.
+const wholeRequestBytes = 16
+
+// wholePart returns the part that stands for the whole request. Requests have the same
+// one in all processes if their method, path, organisation and body are the same,
+// whatever their IDs and other headers. It is a cryptographic hash, so that no caller can
+// find a request with the part of another organisation's request.
+func (q *request) wholePart() rtid.Part {
+	if q.whole != "" {
+		return q.whole
+	}
+	hash := sha256.New()
+	organisation := ""
+	if q.organisation != nil {
+		organisation = string(q.organisation.Name)
+	}
+	for _, field := range []string{q.r.Method, q.r.Host, q.r.RequestURI, organisation} {
+		// Writes to a hash never fail. Lengths separate the fields.
+		_ = binary.Write(hash, binary.BigEndian, uint64(len(field)))
+		_, _ = hash.Write([]byte(field))
+	}
+	for _, piece := range q.body {
+		_, _ = hash.Write(piece)
+	}
+	q.whole = rtid.Part(wholeRequestPrefix + base64.RawURLEncoding.EncodeToString(hash.Sum(nil)[:wholeRequestBytes]))
+	return q.whole
+}
