Log a hash of each request that was at a crashed target

A crash was logged for requests with parts only, and by request ID, which a copy of a request does not share. Copies of one request cannot be told from different requests by that.

The hash covers method, host, path, organisation and body.

--- a/internal/rtgateway/crash.go
+++ b/internal/rtgateway/crash.go
@@ -114,7 +114,11 @@
 	parts := d.request.info.Parts
 	// A target crashes when it begins to answer, so an answer that went on is not
 	// the cause.
-	if len(parts) == 0 || d.answerProven || !d.gateway.targetCrashed(ctx, target) {
+	if d.answerProven || !d.gateway.targetCrashed(ctx, target) {
+		return false
+	}
+	d.gateway.log.Info("Request at a crashed target.", "target", target.ID, "request", d.request.info.ID, "whole", d.request.wholePart())
+	if len(parts) == 0 {
 		return false
 	}
 	return d.gateway.recordCrash(target.ID, d.request.info.ID, parts)
--- a/internal/rtgateway/wholerequest.go
+++ b/internal/rtgateway/wholerequest.go
@@ -2,17 +2,12 @@
 
 import (
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/binary"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
 )
 
-// wholeRequestPrefix begins the part that stands for a whole request. IDs of the parts
-// of prompts contain no colon.
-const wholeRequestPrefix = "request:"
-
-// wholeRequestBytes is the length of the hash in that part.
+// wholeRequestBytes is the length of the hash that stands for a whole request.
 const wholeRequestBytes = 16
 
 // wholePart returns the part that stands for the whole request. Requests have the same
@@ -36,6 +31,6 @@
 	for _, piece := range q.body {
 		_, _ = hash.Write(piece)
 	}
-	q.whole = rtid.Part(wholeRequestPrefix + base64.RawURLEncoding.EncodeToString(hash.Sum(nil)[:wholeRequestBytes]))
+	q.whole = rtid.WholeRequest(hash.Sum(nil)[:wholeRequestBytes])
 	return q.whole
 }
--- a/internal/rtid/id.go
+++ b/internal/rtid/id.go
@@ -2,7 +2,11 @@
 // packages share.
 package rtid
 
-import "time"
+import (
+	"encoding/base64"
+	"strings"
+	"time"
+)
 
 // Organisation is the name of an organisation as in the planners' sheet.
 type Organisation string
@@ -25,9 +29,22 @@
 // Request is the ID of one request, unique across all entries and agents.
 type Request string
 
-// Part is the ID of a part of a prompt that several requests may share.
+// Part is the ID of a part of a prompt that several requests may share, or stands for a
+// whole request, which requests share that are the same but for their IDs.
 type Part string
 
+// wholeRequestPrefix begins parts that stand for whole requests. IDs of parts of prompts
+// contain no colon.
+const wholeRequestPrefix = "request:"
+
+// WholeRequest returns the part that stands for whole requests with a hash.
+func WholeRequest(hash []byte) Part {
+	return Part(wholeRequestPrefix + base64.RawURLEncoding.EncodeToString(hash))
+}
+
+// IsWholeRequest reports whether the part stands for a whole request.
+func (p Part) IsWholeRequest() bool { return strings.HasPrefix(string(p), wholeRequestPrefix) }
+
 // Address is the host and port of a listener, with the host as an IP address.
 type Address string
 
