--- a/internal/rtgateway/crashbed_test.go
+++ b/internal/rtgateway/crashbed_test.go
@@ -59,7 +59,7 @@
 type crash struct {
 	at     time.Time
 	target rtid.Target
-	part   string // that caused it; empty for another cause
+	part   string // that caused it, or deadlyBody; empty for another cause
 }
 
 // arrival is a request that a test will send.
@@ -67,6 +67,9 @@
 	after time.Duration // from the start of the series
 	path  string
 	parts string
+
+	method string // POST if empty
+	body   string
 }
 
 // exchange is a request that was sent, with the caller's reply.
@@ -83,7 +86,7 @@
 // whole reports whether the caller got the whole answer.
 func (e *exchange) whole() bool {
 	want := allEvents()
-	if strings.HasPrefix(e.path, "/safe/") {
+	if strings.HasPrefix(e.path, "/safe/") || strings.HasPrefix(e.path, "/order/") {
 		want = "ok"
 	}
 	return e.reply.status == http.StatusOK && e.reply.err == nil && e.reply.body == want
@@ -141,7 +144,7 @@
 	if r.target.address == s.grey && s.failsGrey(c, r) {
 		return
 	}
-	part := s.deadlyPartOf(r)
+	part := cmp.Or(s.deadlyPartOf(r), deadlyWhole(r))
 	if part == "" {
 		answerOK(c, r)
 		return
@@ -152,7 +155,7 @@
 
 // beginAnswer writes the head of an answer, and its first event.
 func (s *crashBed) beginAnswer(c net.Conn, r *run, withEvent bool) {
-	if strings.HasPrefix(r.request.URL.Path, "/safe/") {
+	if strings.HasPrefix(r.request.URL.Path, "/safe/") || strings.HasPrefix(r.request.URL.Path, "/order/") {
 		_, _ = io.WriteString(c, r.responseHead(200, "Content-Length: 2\r\n"))
 		return
 	}
@@ -291,8 +294,12 @@
 
 // send sends one request and waits for the reply.
 func (s *crashBed) send(id, path, parts string) *exchange {
-	e := &exchange{arrival: arrival{path: path, parts: parts}, id: id, at: time.Now()}
-	e.reply = s.call(http.MethodPost, path, headers(id, "Parts", parts), "")
+	return s.sendArrival(id, arrival{path: path, parts: parts})
+}
+
+func (s *crashBed) sendArrival(id string, a arrival) *exchange {
+	e := &exchange{arrival: a, id: id, at: time.Now()}
+	e.reply = s.call(cmp.Or(a.method, http.MethodPost), a.path, headers(id, "Parts", a.parts), a.body)
 	return e
 }
 
@@ -305,8 +312,7 @@
 	for i, a := range arrivals {
 		time.Sleep(time.Until(start.Add(a.after)))
 		tasks = append(tasks, rttask.Start(s.t.Context(), "call", func(context.Context) error {
-			exchanges[i] = s.send(fmt.Sprint("id-", i), a.path, a.parts)
-			exchanges[i].after = a.after
+			exchanges[i] = s.sendArrival(fmt.Sprint("id-", i), a)
 			return nil
 		}))
 	}
