Keep requests on which targets crash away from targets

Callers saw 502 and broken streams on many requests: one request crashed each target that began to run it, and each crash ended all requests there. Its caller sent it again and again with another ID.

Cause: evidence was kept against the shared parts of prompts only. A request as a whole had no identity, so that nothing connected its copies, and plain requests left no evidence at all. It is the class of the crashing parts: what is sent again is not judged by what it did before.

Now a hash of method, path, organisation, shared parts and body is one more part, with the same register, exchange, probe and refusal. Three crashes put it into quarantine, whatever targets they are of; a crash also counts apart from one just before it if its target got the request after that one, which a lost availability zone does not show. An extra attempt is not made for a request that has crashed two targets, and the loss of one counts as evidence. The hash is computed only while there is evidence against some request.

--- a/internal/rtgateway/crash.go
+++ b/internal/rtgateway/crash.go
@@ -109,38 +109,57 @@
 
 // suspectOfCrash reports whether the target crashed while it had the request and
 // the request may be the cause. It records the crash as evidence against the
-// parts of the prompt.
+// request and the parts of its prompt.
 func (d *delivery) suspectOfCrash(ctx context.Context, target *rtcatalog.Instance) bool {
-	parts := d.request.info.Parts
 	// A target crashes when it begins to answer, so an answer that went on is not
 	// the cause.
 	if d.answerProven || !d.gateway.targetCrashed(ctx, target) {
 		return false
 	}
-	d.gateway.log.Info("Request at a crashed target.", "target", target.ID, "request", d.request.info.ID, "whole", d.request.wholePart())
-	if len(parts) == 0 {
-		return false
-	}
-	return d.gateway.recordCrash(target.ID, d.request.info.ID, parts)
+	return d.gateway.recordCrash(target.ID, d.request, d.sent)
 }
 
-// recordCrash records a crash of a target as evidence against the parts of a
-// request that it had. It reports whether one of them may be the cause.
-func (g *Gateway) recordCrash(target rtid.Target, request rtid.Request, parts []rtid.Part) bool {
+// recordCrash records a crash of a target as evidence against a request that it had,
+// which was sent at a time, and its parts. It reports whether one of them may be the
+// cause.
+func (g *Gateway) recordCrash(target rtid.Target, q *request, sent time.Time) bool {
+	parts := q.allParts()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	quarantined := g.quarantine.RecordCrash(target, parts, now)
+	quarantined := g.quarantine.RecordCrash(target, parts, sent, now)
 	unproven := g.quarantine.Unproven(parts, now)
-	g.log.Info("Target crashed.", "target", target, "request", request, "suspects", unproven)
+	g.log.Info("Target crashed.", "target", target, "request", q.info.ID, "whole", q.wholePart(), "suspects", unproven)
 	g.logQuarantined(quarantined, "own", now)
 	g.onNews()
 	return len(unproven) > 0
 }
 
+// suspectParts returns the parts of a request that there may be evidence against. It
+// leaves the one of the whole request out while there is none against any, which spares
+// its hash.
+func (g *Gateway) suspectParts(q *request) []rtid.Part {
+	g.mu.Lock()
+	whole := g.quarantine.SuspectsRequests()
+	g.mu.Unlock()
+	if whole {
+		return q.allParts()
+	}
+	return q.info.Parts
+}
+
+// mayCrashTargets reports whether a request may be the cause if its target crashes.
+func (g *Gateway) mayCrashTargets(q *request) bool {
+	parts := g.suspectParts(q)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.quarantine.Unproven(parts, time.Now())) > 0
+}
+
 // recordSound records that a target lived on after it had begun to answer a
-// request with these parts.
-func (g *Gateway) recordSound(parts []rtid.Part) {
+// request.
+func (g *Gateway) recordSound(q *request) {
+	parts := g.suspectParts(q)
 	if len(parts) == 0 {
 		return
 	}
@@ -158,9 +177,10 @@
 
 // checkParts decides whether a request may be sent because of its parts.
 func (g *Gateway) checkParts(q *request) rtquarantine.Verdict {
+	parts := g.suspectParts(q)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	verdict := g.quarantine.Check(q.info.Parts, time.Now(), func(part rtid.Part) bool { return g.peers.Designated(string(part)) })
+	verdict := g.quarantine.Check(parts, time.Now(), func(part rtid.Part) bool { return g.peers.Designated(string(part)) })
 	if verdict.Decision == rtquarantine.Probe {
 		g.log.Info("Probing a part in quarantine.", "request", q.info.ID, "prompt_part", verdict.Part)
 		g.countQuarantines("probed")
@@ -184,10 +204,19 @@
 	return true
 }
 
-// rejectParts returns the refusal of a request with a part in quarantine. It
-// names no retry delay: the part is kept away for longer than callers wait.
+// Reasons of refusals because targets have crashed.
+const (
+	reasonPartQuarantine    = "part of the prompt is in quarantine"
+	reasonRequestQuarantine = "request is in quarantine"
+)
+
+// rejectParts returns the refusal of a request that is in quarantine, or a part of which
+// is. It names no retry delay: the part is kept away for longer than callers wait.
 func (d *delivery) rejectParts(verdict rtquarantine.Verdict) *refusal {
-	const reason = "part of the prompt is in quarantine"
+	reason := reasonPartQuarantine
+	if verdict.Part.IsWholeRequest() {
+		reason = reasonRequestQuarantine
+	}
 	d.lastDetail = "part " + string(verdict.Part) + " until " + verdict.Until.Format(time.RFC3339Nano)
 	refused := d.giveUp(reason)
 	if refused == nil {
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -45,6 +45,7 @@
 	tried          []rtid.Target
 	withoutMemory  []rtid.Target       // engines that have refused memory for the prompt or not answered
 	scheduled      scheduled           // of the current attempt
+	sent           time.Time           // when the current attempt was sent
 	successor      *scheduled          // reserved for the next attempt, its retry is taken; nil for none
 	replaced       *scheduled          // the current attempt with another helper, for the next attempt; nil for none
 	held           *heldMemory         // for the current attempt and those that replace its helpers; nil for none
@@ -440,6 +441,7 @@
 		}
 	}
 	sent := time.Now()
+	d.sent = sent
 	var response *rtexchange.Response
 	var info ResponseInfo
 	if delay, hedged := d.hedgeDelay(reserved); hedged {
@@ -450,6 +452,7 @@
 		}
 		d.scheduled, placement, inFlight = chosen.scheduled, chosen.scheduled.Placement, chosen.scheduled.inFlight
 		sent, response, info, err = chosen.sent, chosen.response, chosen.info, chosen.err
+		d.sent = sent
 	} else if response, err = rtexchange.Send(ctx, d.gateway.network, placement.Target.Address, d.targetMessage(placement, reserved)); err == nil {
 		info = d.received(placement.Target, response, sent)
 	}
--- a/internal/rtgateway/hedge.go
+++ b/internal/rtgateway/hedge.go
@@ -180,13 +180,12 @@
 	if g.features(q.view).Hedging.Ratio <= 0 || len(reserved) > 0 || d.headWritten || d.endReported || d.probe || !q.route.Repeatable() {
 		return 0, false
 	}
+	if g.mayCrashTargets(q) {
+		return 0, false // it must not crash two
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
-	if len(g.quarantine.Unproven(q.info.Parts, now)) > 0 {
-		return 0, false // the prompt may crash its target, and must not crash two
-	}
-	return g.hedging.latencies.Delay(rthedge.KindOf(q.service.Name, q.work.Prompt), q.work.LatencySLO, now)
+	return g.hedging.latencies.Delay(rthedge.KindOf(q.service.Name, q.work.Prompt), q.work.LatencySLO, time.Now())
 }
 
 // exchangeHedged sends the request to the scheduled target, and to another one if that
@@ -255,8 +254,17 @@
 func (d *delivery) recordExtra(e *openExchange, ended bool) {
 	notRun := ended && (errors.Is(e.err, rtexchange.ErrNotSent) || e.err == nil && e.info.NotRun)
 	d.attempts.RecordExtra(!notRun)
-	if ended && e.err != nil {
-		d.gateway.startCooldown(e.scheduled.Target.ID, e.err.Error())
+	if !ended || e.err == nil {
+		return
+	}
+	d.gateway.startCooldown(e.scheduled.Target.ID, e.err.Error())
+	if !notRun {
+		// The caller does not wait for the check of the target.
+		d.gateway.background.start(func(ctx context.Context) {
+			if d.gateway.targetCrashed(ctx, e.scheduled.Target) {
+				d.gateway.recordCrash(e.scheduled.Target.ID, d.request, e.sent)
+			}
+		})
 	}
 }
 
@@ -265,6 +273,9 @@
 // there is nobody left to ask.
 func (d *delivery) hedge(ctx context.Context, guard *watchdog) *openExchange {
 	g, q := d.gateway, d.request
+	if g.mayCrashTargets(q) {
+		return nil // known since the first attempt was sent
+	}
 	decision := rthedge.Situation{
 		Repeatable: d.attempts.Repeatable, LastChance: d.attempts.IsLastAttempt(), Prompt: q.work.Prompt,
 		Waiting: g.capacityScarce(q), RetriesSpare: g.retrySpare(q.service.Name),
--- a/internal/rtgateway/refusal.go
+++ b/internal/rtgateway/refusal.go
@@ -32,6 +32,8 @@
 // text tells the caller what happened and what to do.
 func (r *refusal) text() string {
 	switch {
+	case r.lasting && r.reason == reasonRequestQuarantine:
+		return r.reason + ": it has not run and will not; targets have crashed on it, do not send it again"
 	case r.lasting:
 		return r.reason + ": the request has not run and will not; targets have crashed on this part, send the prompt without it"
 	case r.status == http.StatusServiceUnavailable && r.retryAfter > 0:
--- a/internal/rtgateway/relay.go
+++ b/internal/rtgateway/relay.go
@@ -229,7 +229,7 @@
 	d := r.delivery
 	if !d.answerProven {
 		d.answerProven = true
-		d.gateway.recordSound(d.request.info.Parts)
+		d.gateway.recordSound(d.request)
 	}
 }
 
--- a/internal/rtpeer/codec.go
+++ b/internal/rtpeer/codec.go
@@ -99,7 +99,7 @@
 		w.Cooldowns = append(w.Cooldowns, &rtwire.Cooldown{Target: string(target), Remaining: remaining})
 	}
 	for _, e := range d.Evidence {
-		w.Evidence = append(w.Evidence, &rtwire.PartEvidence{Part: string(e.Part), Crashes: wireCrashes(e.Crashes), Refuted: wireCrashes(e.Refuted), Age: e.Age})
+		w.Evidence = append(w.Evidence, &rtwire.PartEvidence{Part: string(e.Part), Crashes: wireCrashes(e.Crashes, e.Held), Refuted: wireCrashes(e.Refuted, nil), Age: e.Age})
 	}
 	for _, l := range d.Limits {
 		w.Limits = append(w.Limits, &rtwire.TargetLimit{Target: wireStart(l.TargetIncarnation), Rate: l.Rate, Sent: l.Sent, Heard: l.Heard})
@@ -138,7 +138,9 @@
 		d.Cooldowns[rtid.Target(c.GetTarget())] = c.GetRemaining()
 	}
 	for _, e := range w.GetEvidence() {
-		d.Evidence = append(d.Evidence, reportedEvidence{Part: rtid.Part(e.GetPart()), Crashes: crashesFrom(e.GetCrashes()), Refuted: crashesFrom(e.GetRefuted()), Age: e.GetAge()})
+		d.Evidence = append(d.Evidence, reportedEvidence{
+			Part: rtid.Part(e.GetPart()), Crashes: crashesFrom(e.GetCrashes()), Held: heldFrom(e.GetCrashes()), Refuted: crashesFrom(e.GetRefuted()), Age: e.GetAge(),
+		})
 	}
 	for _, l := range w.GetLimits() {
 		d.Limits = append(d.Limits, reportedLimit{TargetIncarnation: startFrom(l.GetTarget()), Rate: l.GetRate(), Sent: l.GetSent(), Heard: l.GetHeard()})
@@ -184,10 +186,10 @@
 	return rtid.TargetIncarnation{ID: rtid.Target(w.GetId()), Born: rtid.Incarnation(w.GetBorn())}
 }
 
-func wireCrashes(crashes reportedCrashes) []*rtwire.TargetCrashes {
+func wireCrashes(crashes, held reportedCrashes) []*rtwire.TargetCrashes {
 	var w []*rtwire.TargetCrashes
 	for target, ages := range crashes {
-		w = append(w, &rtwire.TargetCrashes{Target: string(target), Ages: ages})
+		w = append(w, &rtwire.TargetCrashes{Target: string(target), Ages: ages, Held: held[target]})
 	}
 	return w
 }
@@ -202,3 +204,19 @@
 	}
 	return crashes
 }
+
+// heldFrom returns how long targets had had the request at their crashes; nil if nothing
+// is known.
+func heldFrom(w []*rtwire.TargetCrashes) reportedCrashes {
+	var held reportedCrashes
+	for _, c := range w {
+		if len(c.GetHeld()) == 0 {
+			continue
+		}
+		if held == nil {
+			held = make(reportedCrashes, len(w))
+		}
+		held[rtid.Target(c.GetTarget())] = c.GetHeld()
+	}
+	return held
+}
--- a/internal/rtpeer/evidence.go
+++ b/internal/rtpeer/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -53,6 +54,7 @@
 type reportedEvidence struct {
 	Part    rtid.Part       `json:"part"`
 	Crashes reportedCrashes `json:"crashes,omitempty"`
+	Held    reportedCrashes `json:"held,omitempty"` // for which the target had had the whole request at each of Crashes, in ms; 0 if unknown
 	Refuted reportedCrashes `json:"refuted,omitempty"`
 	Age     int64           `json:"age,omitempty"` // time since the last refutation, in ms
 }
@@ -69,11 +71,31 @@
 	return reported
 }
 
-func (r reportedCrashes) crashes() []rtquarantine.Crash {
+// newHeld returns how long the targets of crashes had had the whole request, in the order
+// of newReportedCrashes; nil if nothing is known. It is rounded up: a report must not
+// make a request seem sent later than it was.
+func newHeld(crashes []rtquarantine.Crash) reportedCrashes {
+	if !slices.ContainsFunc(crashes, func(c rtquarantine.Crash) bool { return c.Held > 0 }) {
+		return nil
+	}
+	held := make(reportedCrashes, len(crashes))
+	for _, c := range crashes {
+		held[c.Target] = append(held[c.Target], (c.Held + time.Millisecond - 1).Milliseconds())
+	}
+	return held
+}
+
+// crashes returns the crashes with what is known of how long their targets had had the
+// request.
+func (r reportedCrashes) crashes(held reportedCrashes) []rtquarantine.Crash {
 	var crashes []rtquarantine.Crash
 	for target, ages := range r {
-		for _, age := range ages {
-			crashes = append(crashes, rtquarantine.Crash{Target: target, Age: time.Duration(age) * time.Millisecond})
+		for i, age := range ages {
+			c := rtquarantine.Crash{Target: target, Age: time.Duration(age) * time.Millisecond}
+			if i < len(held[target]) {
+				c.Held = time.Duration(held[target][i]) * time.Millisecond
+			}
+			crashes = append(crashes, c)
 		}
 	}
 	return crashes
@@ -91,6 +113,7 @@
 		reported := reportedEvidence{
 			Part:    o.Part,
 			Crashes: newReportedCrashes(o.Crashes),
+			Held:    newHeld(o.Crashes),
 			Refuted: newReportedCrashes(o.Refuted),
 			Age:     o.RefutedAge.Milliseconds(),
 		}
@@ -117,8 +140,8 @@
 	for _, reported := range evidence {
 		observations = append(observations, rtquarantine.Observation{
 			Part:       reported.Part,
-			Crashes:    reported.Crashes.crashes(),
-			Refuted:    reported.Refuted.crashes(),
+			Crashes:    reported.Crashes.crashes(reported.Held),
+			Refuted:    reported.Refuted.crashes(nil),
 			RefutedAge: time.Duration(reported.Age) * time.Millisecond,
 		})
 	}
--- a/internal/rtpeer/evidence_test.go
+++ b/internal/rtpeer/evidence_test.go
@@ -51,6 +51,7 @@
 func TestEvidenceLostInDigest(t *testing.T) {
 	own := []rtquarantine.Observation{
 		{Part: "5c1e07a2", Crashes: []rtquarantine.Crash{{Target: "i-1", Age: 1500 * time.Millisecond}}},
+		{Part: "request:c2hhMjU2", Crashes: []rtquarantine.Crash{{Target: "i-3", Age: time.Second, Held: 60 * time.Millisecond}, {Target: "i-3", Age: 5 * time.Second}}},
 		{Part: "91bd3f06", Refuted: []rtquarantine.Crash{{Target: "i-2", Age: 2 * time.Second}}, RefutedAge: 300 * time.Millisecond},
 	}
 	sender := groupWith(&fakeEvidence{own: own})
@@ -140,7 +141,7 @@
 			for i := range 100 {
 				parts = append(parts, part(1000*(crash+1)+i))
 			}
-			register.RecordCrash(rtid.Target(fmt.Sprintf("i-%010x", crash)), parts, now.Add(time.Duration(crash-20)*time.Second))
+			register.RecordCrash(rtid.Target(fmt.Sprintf("i-%010x", crash)), parts, time.Time{}, now.Add(time.Duration(crash-20)*time.Second))
 			if crash%5 == 0 {
 				register.RecordSound(parts[11:60], now.Add(time.Duration(crash-20)*time.Second))
 			}
--- a/internal/rtpeer/malformed_test.go
+++ b/internal/rtpeer/malformed_test.go
@@ -112,7 +112,7 @@
 // does not follow sound ones.
 func FuzzDigest(f *testing.F) {
 	f.Add(`{"vm":"vm1","address":"10.0.0.1:80","start":5,"sent":100,"era":1,"revision":9,"age":-1,"loads":{"i-1":[1,2,3,4,5]},"avoid":{"i-1":300},` +
-		`"evidence":[{"part":"a","crashes":{"i-1":[100]},"age":5}],"limits":[{"target":"i-1","born":2,"rate":1.5,"sent":5,"heard":3}],"leaving":[{"target":"i-1","born":2}]}`)
+		`"evidence":[{"part":"a","crashes":{"i-1":[100]},"age":5},{"part":"request:a","crashes":{"i-1":[100,200]},"held":{"i-1":[9223372036854775807,-5,7],"i-2":[]}}],"limits":[{"target":"i-1","born":2,"rate":1.5,"sent":5,"heard":3}],"leaving":[{"target":"i-1","born":2}]}`)
 	f.Add(`{"vm":"vm1","address":"10.0.0.1:80","sent":-9223372036854775808,"age":9223372036854775807,"avoid":{"":-9223372036854775808},"limits":[{"target":"x","rate":1e308,"sent":9223372036854775807}]}`)
 	sound, err := encodeDigest(digest{
 		VM: "vm1", Address: addressOf(1), Sent: 5, Loads: map[rtid.Target]reportedLoad{"i-1": {1, 2, 3, 4, 5}},
--- a/internal/rtpeer/traffic_test.go
+++ b/internal/rtpeer/traffic_test.go
@@ -73,10 +73,13 @@
 		StoreRevision: rtid.StoreRevision{Era: 2, Number: 1204}, Version: 35, Kept: 0xfedcba9876543210, ContactAge: unknownAge,
 		Peers: []rtid.Address{"10.1.0.12:7560", "[fd00::1]:7560"}, Loads: make(map[rtid.Target]reportedLoad),
 		Cooldowns: map[rtid.Target]int64{"i-3": 300},
-		Evidence:  []reportedEvidence{{Part: "12ca9047f126", Crashes: reportedCrashes{"i-1": {5, 9}}, Refuted: reportedCrashes{"i-2": {0}}, Age: 7}},
-		Limits:    []reportedLimit{{TargetIncarnation: rtid.TargetIncarnation{ID: "i-1", Born: 7}, Rate: 1.1, Sent: 9, Heard: 3}},
-		Leaving:   []rtid.TargetIncarnation{{ID: "i-9", Born: 1796412091732}},
-		Codec:     binaryCodec,
+		Evidence: []reportedEvidence{
+			{Part: "12ca9047f126", Crashes: reportedCrashes{"i-1": {5, 9}}, Refuted: reportedCrashes{"i-2": {0}}, Age: 7},
+			{Part: "request:c2hhMjU2", Crashes: reportedCrashes{"i-1": {5, 9}}, Held: reportedCrashes{"i-1": {60, 0}}},
+		},
+		Limits:  []reportedLimit{{TargetIncarnation: rtid.TargetIncarnation{ID: "i-1", Born: 7}, Rate: 1.1, Sent: 9, Heard: 3}},
+		Leaving: []rtid.TargetIncarnation{{ID: "i-9", Born: 1796412091732}},
+		Codec:   binaryCodec,
 	}
 	for i := range 20 {
 		d.Loads[rtid.Target(fmt.Sprintf("i-%010x", i*7919))] = reportedLoad{int64(i % 4), int64(i % 3), int64(5 * i), int64(6 * i), int64(40 * i)}
--- a/internal/rtquarantine/exchange.go
+++ b/internal/rtquarantine/exchange.go
@@ -20,6 +20,7 @@
 type Crash struct {
 	Target rtid.Target
 	Age    time.Duration // since the crash
+	Held   time.Duration // for which the target had had the whole request; 0 if unknown, or of a part
 }
 
 // Observation is what a process knows about a part, by itself or from its peers.
@@ -58,7 +59,7 @@
 	o := Observation{Part: part}
 	later := now.Add(exchangeMargin)
 	if later.Before(s.liveEnd) {
-		o.Crashes = ages(selectReported(s.live, evidenceOf(s.live), rotation), now)
+		o.Crashes = ages(selectReported(s.live, s.evidence(), rotation), now)
 	}
 	if later.Sub(s.refutedAt) < refutationTime {
 		refuted := slices.DeleteFunc(slices.Clone(s.settled), func(c crash) bool { return !c.refuted })
@@ -72,7 +73,11 @@
 func ages(crashes []crash, now time.Time) []Crash {
 	converted := make([]Crash, 0, len(crashes))
 	for _, c := range crashes {
-		converted = append(converted, Crash{Target: c.target, Age: now.Sub(c.at)})
+		crash := Crash{Target: c.target, Age: now.Sub(c.at)}
+		if !c.sent.IsZero() {
+			crash.Held = c.at.Sub(c.sent)
+		}
+		converted = append(converted, crash)
 	}
 	return converted
 }
@@ -111,5 +116,9 @@
 
 // at converts a crash of an observation that is received now.
 func (c Crash) at(now time.Time) crash {
-	return crash{target: c.Target, at: now.Add(-max(0, c.Age))}
+	converted := crash{target: c.Target, at: now.Add(-max(0, c.Age))}
+	if c.Held > 0 {
+		converted.sent = converted.at.Add(-c.Held)
+	}
+	return converted
 }
--- a/internal/rtquarantine/exchange_test.go
+++ b/internal/rtquarantine/exchange_test.go
@@ -99,7 +99,7 @@
 
 // crash records a crash at one process.
 func (f *fleet) crash(process, target int, parts ...rtid.Part) {
-	f.report(f.registers[process].RecordCrash(targetOf(target), parts, f.now))
+	f.report(f.registers[process].RecordCrash(targetOf(target), parts, time.Time{}, f.now))
 }
 
 // decisions returns what all processes decide about a part, sorted and without
@@ -399,8 +399,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		registers := []*Register{{}, {}, {}}
 		elapsed := 0
-		registers[0].RecordCrash(targetOf(0), partsOf("a"), at(0))
-		registers[1].RecordCrash(targetOf(0), partsOf("a"), at(100))
+		registers[0].RecordCrash(targetOf(0), partsOf("a"), time.Time{}, at(0))
+		registers[1].RecordCrash(targetOf(0), partsOf("a"), time.Time{}, at(100))
 		for range rapid.IntRange(1, 60).Draw(t, "exchanges") {
 			from := rapid.IntRange(0, 2).Draw(t, "from")
 			to := rapid.IntRange(0, 2).Draw(t, "to")
--- a/internal/rtquarantine/register.go
+++ b/internal/rtquarantine/register.go
@@ -1,6 +1,6 @@
-// Package rtquarantine decides which parts of prompts are kept away from targets
-// because targets crash on them. It reads no clock and uses no sockets: times are
-// parameters.
+// Package rtquarantine decides which parts of prompts, and which requests as a whole, are
+// kept away from targets because targets crash on them. It reads no clock and uses no
+// sockets: times are parameters.
 package rtquarantine
 
 import (
@@ -16,7 +16,9 @@
 const (
 	// quarantineCrashes is the number of crashes of different targets that put a
 	// part into quarantine. The platform counts from the fifth crash, so that one
-	// or two more may happen while processes exchange the evidence.
+	// or two more may happen while processes exchange the evidence. It is also the
+	// number of crashes that put a whole request into quarantine, of which the
+	// platform counts from the third.
 	quarantineCrashes = 3
 	// quarantineRepeats is the number of crashes at different times that put a part
 	// into quarantine whatever targets they are of, because a service may have too
@@ -68,12 +70,13 @@
 // concurrent use.
 //
 // Callers pass all parts of a prompt except the last, which belongs to one
-// request. Memory is bounded. Suspects that stand beside the fewest crashes are
+// request, and the part that stands for the whole request. Memory is bounded. Suspects that stand beside the fewest crashes are
 // dropped first, of these the ones whose last crash is the oldest, so that fresh
 // parts never displace a part in quarantine. Of the sound parts the oldest are
 // dropped first.
 type Register struct {
 	suspects map[rtid.Part]*suspect // at most maxSuspects
+	wholes   int                    // of these that stand for whole requests
 	sound    soundParts
 	rotation int // number of calls of Observations
 }
@@ -84,8 +87,11 @@
 func (r *Register) RecordSound(parts []rtid.Part, now time.Time) []rtid.Part {
 	var lifted []rtid.Part
 	for _, part := range parts {
-		r.sound.record(part, now)
 		s := r.suspects[part]
+		if part.IsWholeRequest() && s == nil {
+			continue // most requests never come again
+		}
+		r.sound.record(part, now)
 		if s == nil || len(s.live) == 0 {
 			continue
 		}
@@ -98,36 +104,47 @@
 	return lifted
 }
 
+// SuspectsRequests reports whether there is evidence against any whole request.
+// Otherwise the other methods need no parts that stand for whole requests.
+func (r *Register) SuspectsRequests() bool { return r.wholes > 0 }
+
 // Unproven returns the parts that may be the cause of a crash: those without a
 // success within soundWindow, and those that stand beside two or more crashes
 // since their last success. A request that was at a target when it crashed must
-// not be repeated if it has any of these.
+// not be repeated if it has any of these. Whole requests need no success, because
+// most of them come once.
 func (r *Register) Unproven(parts []rtid.Part, now time.Time) []rtid.Part {
 	var unproven []rtid.Part
 	for _, part := range parts {
 		s := r.suspects[part]
 		suspected := s != nil && s.level > 1 && now.Before(s.liveEnd)
-		if suspected || now.Sub(r.sound.last(part)) > soundWindow {
+		if suspected || !part.IsWholeRequest() && now.Sub(r.sound.last(part)) > soundWindow {
 			unproven = append(unproven, part)
 		}
 	}
 	return unproven
 }
 
-// RecordCrash records one crash of a target and the parts of one request there
-// whose answer had not gone past its first event. It returns the parts that are
-// newly in quarantine.
+// RecordCrash records one crash of a target and the parts of one request there, which
+// was sent at a time and whose answer had not gone past its first event. It returns the
+// parts that are newly in quarantine.
 //
-// The crash speaks against the parts without a success within soundWindow. If all
-// have one, it speaks against the part whose success is the oldest, because it may
-// have become deadly since then. A success after the crash refutes it, here or at
-// any peer.
-func (r *Register) RecordCrash(target rtid.Target, parts []rtid.Part, now time.Time) []rtid.Part {
+// The crash speaks against the whole request. It also speaks against the parts without a
+// success within soundWindow. If all have one, it speaks against the part whose success
+// is the oldest, because it may have become deadly since then. If the same request has
+// crashed a target before, the crash speaks against no parts: sound requests may have
+// them, too, and a deadly part comes with different requests. A success after the crash
+// refutes it, here or at any peer.
+func (r *Register) RecordCrash(target rtid.Target, parts []rtid.Part, sent, now time.Time) []rtid.Part {
 	var quarantined []rtid.Part
-	for _, part := range r.likeliest(parts, now) {
+	for _, part := range r.likeliest(parts, crash{target: target, at: now, sent: sent}) {
 		s := r.suspect(part, now)
 		before := s.quarantined(now)
-		s.add(crash{target: target, at: now})
+		recorded := crash{target: target, at: now}
+		if s.whole {
+			recorded.sent = sent
+		}
+		s.add(recorded)
 		s.update()
 		if !before && s.quarantined(now) {
 			quarantined = append(quarantined, part)
@@ -138,11 +155,18 @@
 }
 
 // likeliest returns the parts of a request that a crash speaks against.
-func (r *Register) likeliest(parts []rtid.Part, now time.Time) []rtid.Part {
-	var unproven, oldest []rtid.Part
+func (r *Register) likeliest(parts []rtid.Part, c crash) []rtid.Part {
+	var whole, unproven, oldest []rtid.Part
 	for _, part := range parts {
+		if part.IsWholeRequest() {
+			whole = append(whole, part)
+			if s := r.suspects[part]; s != nil && s.explains(c) {
+				return whole
+			}
+			continue
+		}
 		last := r.sound.last(part)
-		if now.Sub(last) > soundWindow {
+		if c.at.Sub(last) > soundWindow {
 			unproven = append(unproven, part)
 		}
 		if len(oldest) == 0 || last.Before(r.sound.last(oldest[0])) {
@@ -150,9 +174,9 @@
 		}
 	}
 	if len(unproven) > 0 {
-		return unproven
+		return append(whole, unproven...)
 	}
-	return oldest
+	return append(whole, oldest...)
 }
 
 // suspect returns the evidence about a part that is not too old and creates it if there is none.
@@ -162,8 +186,11 @@
 		if r.suspects == nil {
 			r.suspects = make(map[rtid.Part]*suspect)
 		}
-		s = &suspect{}
+		s = &suspect{whole: part.IsWholeRequest()}
 		r.suspects[clonePart(part)] = s
+		if s.whole {
+			r.wholes++
+		}
 	}
 	s.forget(now)
 	return s
@@ -171,16 +198,24 @@
 
 // evict forgets what is too old and enforces maxSuspects.
 func (r *Register) evict(now time.Time) {
-	maps.DeleteFunc(r.suspects, func(_ rtid.Part, s *suspect) bool {
-		s.forget(now)
-		return len(s.live) == 0 && len(s.settled) == 0
-	})
+	for part, s := range r.suspects {
+		if s.forget(now); len(s.live) == 0 && len(s.settled) == 0 {
+			r.remove(part)
+		}
+	}
 	if len(r.suspects) <= maxSuspects {
 		return
 	}
 	for _, part := range r.byRelevance()[maxSuspects:] {
-		delete(r.suspects, part)
+		r.remove(part)
+	}
+}
+
+func (r *Register) remove(part rtid.Part) {
+	if r.suspects[part].whole {
+		r.wholes--
 	}
+	delete(r.suspects, part)
 }
 
 // byRelevance returns the suspects in the order of their evidence: more crashes
--- a/internal/rtquarantine/register_test.go
+++ b/internal/rtquarantine/register_test.go
@@ -34,7 +34,7 @@
 			r.RecordSound(e.parts, at(e.ms))
 		}
 		for _, target := range e.targets {
-			quarantined = append(quarantined, r.RecordCrash(targetOf(target), e.parts, at(e.ms))...)
+			quarantined = append(quarantined, r.RecordCrash(targetOf(target), e.parts, time.Time{}, at(e.ms))...)
 		}
 	}
 	return quarantined
@@ -111,7 +111,7 @@
 	var r Register
 	for ms := 0; ms < 30000; ms += 10 {
 		if ms%300 == 0 {
-			got := r.RecordCrash(targetOf(ms/300%21), partsOf("popular", "d"), at(ms))
+			got := r.RecordCrash(targetOf(ms/300%21), partsOf("popular", "d"), time.Time{}, at(ms))
 			if slices.Contains(got, "popular") {
 				t.Fatalf("popular part in quarantine after %d ms", ms)
 			}
@@ -224,7 +224,7 @@
 		}
 		now := at(1000 + i*300)
 		r.RecordSound(fresh[:100], now)
-		r.RecordCrash(targetOf(i), fresh, now)
+		r.RecordCrash(targetOf(i), fresh, time.Time{}, now)
 		if verdict := r.Check(partsOf("d"), now, nil); verdict.Decision != Reject {
 			t.Fatalf("crash %d: deadly part: %v, want Reject", i, verdict.Decision)
 		}
--- a/internal/rtquarantine/suspect.go
+++ b/internal/rtquarantine/suspect.go
@@ -23,7 +23,8 @@
 type crash struct {
 	target  rtid.Target
 	at      time.Time
-	refuted bool // followed by a success
+	sent    time.Time // when the target got the whole request; zero if unknown, or of a part
+	refuted bool      // followed by a success
 }
 
 // same reports whether two reports are about one crash.
@@ -36,8 +37,15 @@
 	return c.at.Sub(other.at).Abs() <= simultaneousCrashes
 }
 
+// follows reports whether a crash counts apart from an earlier one of the same whole
+// request: the loss of an availability zone ends targets that have got it before.
+func (c crash) follows(earlier crash) bool {
+	return c.at.Sub(earlier.at) > simultaneousCrashes || !c.sent.IsZero() && !c.sent.Before(earlier.at)
+}
+
 // suspect is the evidence about a part.
 type suspect struct {
+	whole     bool      // it stands for a whole request
 	live      []crash   // evidence: not followed by a known success, oldest first
 	settled   []crash   // refuted or simultaneous with a refuted crash, oldest first
 	refutedAt time.Time // when the last crash was refuted; zero for none
@@ -61,6 +69,12 @@
 	return !s.probed.IsZero() && now.Sub(s.probed) < probeTimeout
 }
 
+// explains reports whether a request that crashes targets has caused a crash, because it
+// has caused one before.
+func (s *suspect) explains(c crash) bool {
+	return len(s.live) > 0 && c.follows(s.live[0])
+}
+
 // latest returns the time of the last change of the evidence.
 func (s *suspect) latest() time.Time {
 	latest := s.refutedAt
@@ -77,6 +91,9 @@
 			if c.at.Before(known[i].at) {
 				known[i].at, s.changed = c.at, true
 			}
+			if c.sent.After(known[i].sent) {
+				known[i].sent, s.changed = c.sent, true
+			}
 			if c.refuted && !known[i].refuted {
 				known[i].refuted, s.changed = true, true
 			}
@@ -125,7 +142,7 @@
 			s.live = append(s.live, c)
 		}
 	}
-	chain := evidenceOf(s.live)
+	chain := s.evidence()
 	s.live, s.settled = trimLive(s.live, chain), trimSettled(s.settled)
 	s.level, s.length, s.until, s.liveEnd = min(len(chain), quarantineCrashes), 0, time.Time{}, time.Time{}
 	if len(s.live) == 0 {
@@ -159,25 +176,45 @@
 	return crashes
 }
 
-// evidenceOf returns the crashes that put a part into quarantine, or those that
+// evidence returns the live crashes that put a part into quarantine, or those that
 // count so far.
-func evidenceOf(crashes []crash) []crash {
-	chain := longestChain(crashes, nil)
+func (s *suspect) evidence() []crash {
+	if s.whole {
+		return wholeEvidence(s.live)
+	}
+	chain := longestChain(s.live, nil)
 	if len(chain) >= quarantineCrashes {
 		return chain
 	}
-	if repeats := separateCrashes(crashes); len(repeats) >= quarantineRepeats {
+	apart := func(c, earlier crash) bool { return c.at.Sub(earlier.at) > simultaneousCrashes }
+	if repeats := separateCrashes(s.live, quarantineRepeats, apart); len(repeats) >= quarantineRepeats {
 		return repeats
 	}
 	return chain
 }
 
-// separateCrashes returns the first quarantineRepeats of the sorted crashes that
-// are not simultaneous.
-func separateCrashes(crashes []crash) []crash {
+// wholeEvidence is the evidence against a whole request. Crashes of one target count, too,
+// because its service may have few. Crashes of several copies at the same time count each
+// once one has followed them: no loss of an availability zone explains both.
+func wholeEvidence(crashes []crash) []crash {
+	separate := separateCrashes(crashes, quarantineCrashes, crash.follows)
+	for _, c := range crashes {
+		if n := len(separate); n < 2 || n == quarantineCrashes {
+			break
+		}
+		if !slices.Contains(separate, c) {
+			separate = append(separate, c)
+		}
+	}
+	return sorted(separate)
+}
+
+// separateCrashes returns the first of the sorted crashes, up to a limit, of which each
+// counts apart from the one before it.
+func separateCrashes(crashes []crash, limit int, follows func(c, earlier crash) bool) []crash {
 	var separate []crash
 	for _, c := range crashes {
-		if n := len(separate); n == quarantineRepeats || n > 0 && c.at.Sub(separate[n-1].at) <= simultaneousCrashes {
+		if n := len(separate); n == limit || n > 0 && !follows(c, separate[n-1]) {
 			continue
 		}
 		separate = append(separate, c)
