Hear what a target still says after its caller has left

A target that had asked a gateway for a pause got up to five requests from it in that time; two are allowed. The users call that repeats that pile up.

Cause: when the caller leaves, the attempt closes its connection. A refusal that is on its way then is never read, and neither is the pause, leave or rate limit in its header. While callers leave about when the target answers, each unread refusal is followed by the next request. The class: what a target says of itself was heard only if somebody still wanted its answer.

Now the connection of an abandoned attempt is closed for writing at once, so that the target sees the disconnect as before, and the head of the answer is read in the background for at most 250 ms. It counts like any other. It is the same for a silent target and for the slower one of two attempts.

--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -57,6 +57,10 @@
 	Header http.Header
 	Body   []byte
 	Pieces [][]byte // of the body, after Body; they are sent without a copy
+	// OnAbandoned is called if the context of Send ends before the target has begun to
+	// answer. It takes over what may still arrive and has Read or Close of it called. With
+	// nil, the connection is closed.
+	OnAbandoned func(*LateResponse)
 }
 
 // size returns the length of the body.
@@ -107,7 +111,7 @@
 // Send sends a message to an address and returns once the response header has
 // been received. An error that wraps ErrNotSent proves that the target received
 // nothing; after any other error it may have run the request. The end of ctx
-// closes the connection, also while Body is read.
+// closes the connection, also while Body is read, but for Message.OnAbandoned.
 func Send(ctx context.Context, network rtnet.Network, address rtid.Address, message *Message) (*Response, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	connection, err := network.Dial(dialCtx, address)
@@ -115,13 +119,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	stopClose := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	waiting := &wait{connection: connection, abandons: message.OnAbandoned != nil}
+	stopClose := context.AfterFunc(ctx, waiting.interrupt)
 	// A target may answer before it has read the whole body, so the request is
 	// written while the response is read.
 	writeTask := rttask.Start(context.WithoutCancel(ctx), "write request", func(context.Context) error {
 		return message.write(bufio.NewWriterSize(connection, writeBufferSize))
 	})
-	response, err := readHead(connection, message)
+	head := newHeadReader(connection)
+	if interrupted := waiting.forFirstByte(head); interrupted {
+		// The pieces of the body must not be read any more when Send returns.
+		_ = connection.SetWriteDeadline(longAgo)
+		_ = writeTask.Stop()
+		message.OnAbandoned(&LateResponse{connection: connection, head: head, method: message.Method})
+		return nil, context.Cause(ctx)
+	}
+	response, err := head.read(connection, message.Method)
 	if err != nil {
 		stopClose()
 		_ = connection.Close()
@@ -133,13 +146,26 @@
 	return response, nil
 }
 
-// readHead reads the response header, after any interim responses.
-func readHead(connection net.Conn, message *Message) (*Response, error) {
+// head reads the header of a response.
+type head struct {
+	limited *headReader
+	reader  *bufio.Reader
+	failed  error // to wait for the first byte; nil if it may be read
+}
+
+func newHeadReader(connection net.Conn) *head {
 	limited := &headReader{reader: connection, remaining: maxHeadSize}
-	reader := bufio.NewReaderSize(limited, readBufferSize)
-	request := &http.Request{Method: message.Method}
+	return &head{limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}
+}
+
+// read reads the response header, after any interim responses.
+func (h *head) read(connection net.Conn, method string) (*Response, error) {
+	if h.failed != nil {
+		return nil, fmt.Errorf("read response header: %w", h.failed)
+	}
+	request := &http.Request{Method: method}
 	for range maxInterimResponses {
-		response, err := http.ReadResponse(reader, request) //nolint:bodyclose // Response.Close closes the connection
+		response, err := http.ReadResponse(h.reader, request) //nolint:bodyclose // Response.Close closes the connection
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
@@ -149,7 +175,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		limited.complete = true
+		h.limited.complete = true
 		return &Response{
 			Status:     response.StatusCode,
 			Header:     response.Header,
--- a/internal/rtfake/connection.go
+++ b/internal/rtfake/connection.go
@@ -69,6 +69,12 @@
 	return nil
 }
 
+// CloseWrite shows the peer the end of what is written, as that of net.TCPConn.
+func (c *connection) CloseWrite() error {
+	c.out.closeWriter(io.EOF)
+	return nil
+}
+
 // SetLinger makes Close a reset if the time is 0, as that of net.TCPConn.
 func (c *connection) SetLinger(seconds int) error {
 	c.resets.Store(seconds == 0)
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -80,6 +80,9 @@
 	// shedRetryDelay is the time after which targets without room are expected
 	// to have some: a few passes of an engine.
 	shedRetryDelay = 400 * time.Millisecond
+	// maxLateResponses limits the connections of abandoned attempts that are still open,
+	// for some hundred milliseconds each.
+	maxLateResponses = 256
 	// admitInterval is how often the placement of a waiting request is tried
 	// again: about one pass of an engine.
 	admitInterval = 40 * time.Millisecond
@@ -487,15 +490,37 @@
 // received records what a response that has just arrived says of its target.
 func (d *delivery) received(target *rtcatalog.Instance, response *rtexchange.Response, sent time.Time) ResponseInfo {
 	d.gateway.recordResponse(target.ID)
-	info := d.gateway.dialect.ParseResponse(response.Status, response.Header)
-	d.gateway.recordNotices(target, response.Status, info)
+	return d.recordAnnouncements(target, response.Status, response.Header, sent)
+}
+
+// recordAnnouncements records what the header of a response says of its target.
+func (d *delivery) recordAnnouncements(target *rtcatalog.Instance, status int, header http.Header, sent time.Time) ResponseInfo {
+	info := d.gateway.dialect.ParseResponse(status, header)
+	d.gateway.recordNotices(target, status, info)
 	own := info.Request == d.request.info.ID
-	if own || info.NotRun && response.Status != http.StatusMisdirectedRequest {
+	if own || info.NotRun && status != http.StatusMisdirectedRequest {
 		d.gateway.recordRateLimit(target, info, own && info.Stamped, sent)
 	}
 	return info
 }
 
+// hearLate records in the background what the target of an abandoned attempt still says
+// of itself.
+func (d *delivery) hearLate(target *rtcatalog.Instance, late *rtexchange.LateResponse, sent time.Time) {
+	g := d.gateway
+	if g.lateResponses.Add(1) > maxLateResponses {
+		g.lateResponses.Add(-1)
+		late.Close()
+		return
+	}
+	g.background.start(func(context.Context) {
+		defer g.lateResponses.Add(-1)
+		if status, header, err := late.Read(); err == nil {
+			d.recordAnnouncements(target, status, header, sent)
+		}
+	})
+}
+
 // unreservedOutcome returns the outcome of an attempt that got no memory for its
 // prompt. A new request is refused, so that its caller can come back; an answer
 // that has begun is continued with the memory of other engines, and an attempt
@@ -548,12 +573,14 @@
 		outgoing.Organisation = q.organisation.Name
 	}
 	d.gateway.dialect.RewriteHeaders(header, outgoing)
+	sent := time.Now()
 	return &rtexchange.Message{
-		Method: q.r.Method,
-		Path:   q.r.RequestURI,
-		Host:   q.r.Host,
-		Header: header,
-		Pieces: q.body,
+		Method:      q.r.Method,
+		Path:        q.r.RequestURI,
+		Host:        q.r.Host,
+		Header:      header,
+		Pieces:      q.body,
+		OnAbandoned: func(late *rtexchange.LateResponse) { d.hearLate(placement.Target, late, sent) },
 	}
 }
 
--- a/internal/rtgateway/gateway.go
+++ b/internal/rtgateway/gateway.go
@@ -108,9 +108,10 @@
 	grace             context.Context // ends with the grace period of a planned stop
 	endGrace          context.CancelCauseFunc
 
-	background background
-	bodies     *rtexchange.Budget // memory of long responses and events
-	intake     *intake
+	background    background
+	lateResponses atomic.Int64       // that abandoned attempts still wait for
+	bodies        *rtexchange.Budget // memory of long responses and events
+	intake        *intake
 
 	mu           sync.Mutex
 	bounds       Bounds
