Admit sound requests that were only at the crashes of another one

Its crashes are those of a suspect that has crashed more targets, so they say nothing against it. They do not count for its quarantine now; those that are its own do.

--- a/internal/rtquarantine/check.go
+++ b/internal/rtquarantine/check.go
@@ -1,6 +1,7 @@
 package rtquarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbtally/rhubarbtally/internal/rtid"
@@ -36,7 +37,7 @@
 	}
 	for _, part := range parts {
 		s := r.suspects[part]
-		if s == nil || !s.quarantined(now) {
+		if s == nil || !r.keptAway(s, now) {
 			continue
 		}
 		if now.Before(s.until) || s.probing(now) || designated == nil || !designated(part) {
@@ -50,11 +51,30 @@
 		return verdict
 	}
 	for _, part := range parts {
-		if s := r.suspects[part]; s != nil && s.quarantined(now) {
+		if s := r.suspects[part]; s != nil && r.keptAway(s, now) {
 			s.probed = now
 		}
 	}
 	return verdict
 }
 
+// keptAway reports whether a suspect is in quarantine, or awaits a probe, and its crashes
+// are not those of another one.
+func (r *Register) keptAway(s *suspect, now time.Time) bool {
+	return s.quarantined(now) && !(s.whole && r.explained(s, now))
+}
+
+// explained reports whether too few crashes speak against a whole request alone: the
+// targets ended under another suspect, which has ended more of them. A sound request that
+// is sent again beside a deadly one is at several of its crashes.
+func (r *Register) explained(s *suspect, now time.Time) bool {
+	alone := s.live
+	for _, other := range r.suspects {
+		if len(other.live) > len(s.live) && other.quarantined(now) {
+			alone = slices.DeleteFunc(slices.Clone(alone), func(c crash) bool { return slices.ContainsFunc(other.live, c.same) })
+		}
+	}
+	return len(alone) < len(s.live) && len(wholeEvidence(alone)) < quarantineCrashes
+}
+
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Decision
--- a/internal/rtquarantine/dump.go
+++ b/internal/rtquarantine/dump.go
@@ -24,7 +24,7 @@
 	var suspects []Suspect
 	for _, part := range r.byRelevance() {
 		s := r.suspects[part]
-		suspect := Suspect{Part: part, Crashes: len(s.live), Quarantined: s.quarantined(now), Until: s.until, Refuted: len(s.settled)}
+		suspect := Suspect{Part: part, Crashes: len(s.live), Quarantined: r.keptAway(s, now), Until: s.until, Refuted: len(s.settled)}
 		for _, c := range s.live {
 			suspect.Targets = append(suspect.Targets, c.target)
 		}
--- a/internal/rtquarantine/exchange.go
+++ b/internal/rtquarantine/exchange.go
@@ -93,7 +93,7 @@
 	var quarantined []rtid.Part
 	for _, o := range observations {
 		s := r.suspect(o.Part, now)
-		before := s.quarantined(now)
+		before := r.keptAway(s, now)
 		for _, c := range firstOf(o.Refuted) {
 			s.refute(c.at(now), now.Add(-max(0, o.RefutedAge)))
 		}
@@ -103,7 +103,7 @@
 		s.update()
 		s.refuteUntil(r.sound.last(o.Part), now)
 		s.update()
-		if !before && s.quarantined(now) {
+		if !before && r.keptAway(s, now) {
 			quarantined = append(quarantined, o.Part)
 		}
 	}
--- a/internal/rtquarantine/register.go
+++ b/internal/rtquarantine/register.go
@@ -139,14 +139,14 @@
 	var quarantined []rtid.Part
 	for _, part := range r.likeliest(parts, crash{target: target, at: now, sent: sent}) {
 		s := r.suspect(part, now)
-		before := s.quarantined(now)
+		before := r.keptAway(s, now)
 		recorded := crash{target: target, at: now}
 		if s.whole {
 			recorded.sent = sent
 		}
 		s.add(recorded)
 		s.update()
-		if !before && s.quarantined(now) {
+		if !before && r.keptAway(s, now) {
 			quarantined = append(quarantined, part)
 		}
 	}
--- a/internal/rtquarantine/whole_test.go
+++ b/internal/rtquarantine/whole_test.go
@@ -60,6 +60,43 @@
 	}
 }
 
+// Guards against a sound request that is kept away because its attempts and its copies
+// were at targets that a deadly one crashed, and against a second deadly one that hides
+// behind the first.
+func TestRequestBesideDeadlyRequest(t *testing.T) {
+	beside := rtid.WholeRequest([]byte("beside"))
+	tests := []struct {
+		name    string
+		crashes []int // of those of the deadly request
+		alone   int   // more crashes, under this request alone
+		want    Decision
+	}{
+		{"at three crashes", []int{1, 2, 4}, 0, Admit},
+		{"at three crashes and two alone", []int{1, 2, 4}, 2, Admit},
+		{"at two crashes and three alone", []int{2, 4}, 3, Reject},
+		{"three alone", nil, 3, Reject},
+		{"at all crashes", []int{0, 1, 2, 3, 4, 5}, 0, Reject},
+	}
+	for _, test := range tests {
+		var r Register
+		for i := range 6 {
+			r.RecordCrash(targetOf(i), partsOf(deadlyRequest), at(300*i), at(300*i+100))
+			if slices.Contains(test.crashes, i) {
+				r.RecordCrash(targetOf(i), partsOf(beside), at(300*i+20), at(300*i+110))
+			}
+		}
+		for i := range test.alone {
+			r.RecordCrash(targetOf(10+i), partsOf(beside), at(2000+300*i), at(2000+300*i+100))
+		}
+		if got := r.Check(partsOf(beside), at(4000), nil).Decision; got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+		if got := r.Check(partsOf(deadlyRequest), at(4000), nil).Decision; got != Reject {
+			t.Errorf("%s: deadly request: %v, want Reject", test.name, got)
+		}
+	}
+}
+
 // Guards against parts that sound requests share with a deadly one and that are kept away
 // with it, although it alone crashes targets.
 func TestPartsOfDeadlyRequest(t *testing.T) {
