Suspect parts beside whole requests until these are in quarantine

A crash spoke against the parts of a request only if the same request had crashed no target before, so that a deadly part was found after three different requests instead of two.

Now every crash speaks against the parts, too, and those of a whole request in quarantine are taken out when a part is judged, by the rule that already admits sound requests beside a deadly one.

--- a/internal/rtquarantine/check.go
+++ b/internal/rtquarantine/check.go
@@ -61,20 +61,22 @@
 // keptAway reports whether a suspect is in quarantine, or awaits a probe, and its crashes
 // are not those of another one.
 func (r *Register) keptAway(s *suspect, now time.Time) bool {
-	return s.quarantined(now) && !(s.whole && r.explained(s, now))
+	return s.quarantined(now) && !r.explained(s, now)
 }
 
-// explained reports whether too few crashes speak against a whole request alone: the
-// targets ended under another suspect, which has ended more of them. A sound request that
-// is sent again beside a deadly one is at several of its crashes.
+// explained reports whether too few crashes speak against a suspect alone, because whole
+// requests in quarantine explain the others. They explain those of their parts, which
+// sound requests may have, too. They also explain those of requests with fewer crashes: a
+// sound one that is sent again beside a deadly one is at several of its crashes.
 func (r *Register) explained(s *suspect, now time.Time) bool {
 	alone := s.live
 	for _, other := range r.suspects {
-		if len(other.live) > len(s.live) && other.quarantined(now) {
-			alone = slices.DeleteFunc(slices.Clone(alone), func(c crash) bool { return slices.ContainsFunc(other.live, c.same) })
+		if !other.whole || s.whole && len(other.live) <= len(s.live) || !other.quarantined(now) {
+			continue
 		}
+		alone = slices.DeleteFunc(slices.Clone(alone), func(c crash) bool { return slices.ContainsFunc(other.live, c.same) })
 	}
-	return len(alone) < len(s.live) && len(wholeEvidence(alone)) < quarantineCrashes
+	return len(alone) < len(s.live) && len(s.evidence(alone)) < quarantineCrashes
 }
 
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Decision
--- a/internal/rtquarantine/exchange.go
+++ b/internal/rtquarantine/exchange.go
@@ -59,7 +59,7 @@
 	o := Observation{Part: part}
 	later := now.Add(exchangeMargin)
 	if later.Before(s.liveEnd) {
-		o.Crashes = ages(selectReported(s.live, s.evidence(), rotation), now)
+		o.Crashes = ages(selectReported(s.live, s.evidence(s.live), rotation), now)
 	}
 	if later.Sub(s.refutedAt) < refutationTime {
 		refuted := slices.DeleteFunc(slices.Clone(s.settled), func(c crash) bool { return !c.refuted })
--- a/internal/rtquarantine/register.go
+++ b/internal/rtquarantine/register.go
@@ -131,13 +131,11 @@
 //
 // The crash speaks against the whole request. It also speaks against the parts without a
 // success within soundWindow. If all have one, it speaks against the part whose success
-// is the oldest, because it may have become deadly since then. If the same request has
-// crashed a target before, the crash speaks against no parts: sound requests may have
-// them, too, and a deadly part comes with different requests. A success after the crash
+// is the oldest, because it may have become deadly since then. A success after the crash
 // refutes it, here or at any peer.
 func (r *Register) RecordCrash(target rtid.Target, parts []rtid.Part, sent, now time.Time) []rtid.Part {
 	var quarantined []rtid.Part
-	for _, part := range r.likeliest(parts, crash{target: target, at: now, sent: sent}) {
+	for _, part := range r.likeliest(parts, now) {
 		s := r.suspect(part, now)
 		before := r.keptAway(s, now)
 		recorded := crash{target: target, at: now}
@@ -155,18 +153,15 @@
 }
 
 // likeliest returns the parts of a request that a crash speaks against.
-func (r *Register) likeliest(parts []rtid.Part, c crash) []rtid.Part {
+func (r *Register) likeliest(parts []rtid.Part, now time.Time) []rtid.Part {
 	var whole, unproven, oldest []rtid.Part
 	for _, part := range parts {
 		if part.IsWholeRequest() {
 			whole = append(whole, part)
-			if s := r.suspects[part]; s != nil && s.explains(c) {
-				return whole
-			}
 			continue
 		}
 		last := r.sound.last(part)
-		if c.at.Sub(last) > soundWindow {
+		if now.Sub(last) > soundWindow {
 			unproven = append(unproven, part)
 		}
 		if len(oldest) == 0 || last.Before(r.sound.last(oldest[0])) {
--- a/internal/rtquarantine/suspect.go
+++ b/internal/rtquarantine/suspect.go
@@ -69,12 +69,6 @@
 	return !s.probed.IsZero() && now.Sub(s.probed) < probeTimeout
 }
 
-// explains reports whether a request that crashes targets has caused a crash, because it
-// has caused one before.
-func (s *suspect) explains(c crash) bool {
-	return len(s.live) > 0 && c.follows(s.live[0])
-}
-
 // latest returns the time of the last change of the evidence.
 func (s *suspect) latest() time.Time {
 	latest := s.refutedAt
@@ -142,7 +136,7 @@
 			s.live = append(s.live, c)
 		}
 	}
-	chain := s.evidence()
+	chain := s.evidence(s.live)
 	s.live, s.settled = trimLive(s.live, chain), trimSettled(s.settled)
 	s.level, s.length, s.until, s.liveEnd = min(len(chain), quarantineCrashes), 0, time.Time{}, time.Time{}
 	if len(s.live) == 0 {
@@ -176,18 +170,18 @@
 	return crashes
 }
 
-// evidence returns the live crashes that put a part into quarantine, or those that
-// count so far.
-func (s *suspect) evidence() []crash {
+// evidence returns those of the crashes that put the suspect into quarantine, or those
+// that count so far: then they are fewer than quarantineCrashes.
+func (s *suspect) evidence(crashes []crash) []crash {
 	if s.whole {
-		return wholeEvidence(s.live)
+		return wholeEvidence(crashes)
 	}
-	chain := longestChain(s.live, nil)
+	chain := longestChain(crashes, nil)
 	if len(chain) >= quarantineCrashes {
 		return chain
 	}
 	apart := func(c, earlier crash) bool { return c.at.Sub(earlier.at) > simultaneousCrashes }
-	if repeats := separateCrashes(s.live, quarantineRepeats, apart); len(repeats) >= quarantineRepeats {
+	if repeats := separateCrashes(crashes, quarantineRepeats, apart); len(repeats) >= quarantineRepeats {
 		return repeats
 	}
 	return chain
