Name the hash before the body of an extra attempt is returned

The check of a target that crashed under the slower of two attempts runs in the background and hashed the body there, whose memory may be in use for another request by then. The hash is computed before.

--- a/internal/rtexchange/exchange.go
+++ b/internal/rtexchange/exchange.go
@@ -58,8 +58,8 @@
 	Body   []byte
 	Pieces [][]byte // of the body, after Body; they are sent without a copy
 	// OnAbandoned is called if the context of Send ends before the target has begun to
-	// answer. It takes over what may still arrive and has Read or Close of it called. With
-	// nil, the connection is closed.
+	// answer, and sees to it that Read or Close is called. If it is nil, Send closes the
+	// connection.
 	OnAbandoned func(*LateResponse)
 }
 
@@ -119,15 +119,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	waiting := &wait{connection: connection, abandons: message.OnAbandoned != nil}
+	waiting := &firstByteWait{connection: connection, abandons: message.OnAbandoned != nil}
 	stopClose := context.AfterFunc(ctx, waiting.interrupt)
 	// A target may answer before it has read the whole body, so the request is
 	// written while the response is read.
 	writeTask := rttask.Start(context.WithoutCancel(ctx), "write request", func(context.Context) error {
 		return message.write(bufio.NewWriterSize(connection, writeBufferSize))
 	})
-	head := newHeadReader(connection)
-	if interrupted := waiting.forFirstByte(head); interrupted {
+	head := newResponseHead(connection)
+	if interrupted := waiting.waitFor(head); interrupted {
 		// The pieces of the body must not be read any more when Send returns.
 		_ = connection.SetWriteDeadline(longAgo)
 		_ = writeTask.Stop()
@@ -146,20 +146,20 @@
 	return response, nil
 }
 
-// head reads the header of a response.
-type head struct {
+// responseHead reads the header of a response.
+type responseHead struct {
 	limited *headReader
 	reader  *bufio.Reader
 	failed  error // to wait for the first byte; nil if it may be read
 }
 
-func newHeadReader(connection net.Conn) *head {
+func newResponseHead(connection net.Conn) *responseHead {
 	limited := &headReader{reader: connection, remaining: maxHeadSize}
-	return &head{limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}
+	return &responseHead{limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}
 }
 
 // read reads the response header, after any interim responses.
-func (h *head) read(connection net.Conn, method string) (*Response, error) {
+func (h *responseHead) read(connection net.Conn, method string) (*Response, error) {
 	if h.failed != nil {
 		return nil, fmt.Errorf("read response header: %w", h.failed)
 	}
--- a/internal/rtexchange/fuzz_test.go
+++ b/internal/rtexchange/fuzz_test.go
@@ -39,7 +39,7 @@
 // for the header and for all.
 func exchange(text []byte, end error, method string, limit int64) (response *Response, body []byte, head, all int, err error) {
 	connection := &textConn{text: text, end: end}
-	response, err = newHeadReader(connection).read(connection, method)
+	response, err = newResponseHead(connection).read(connection, method)
 	head = connection.read
 	if err == nil {
 		body, err = response.ReadAll(limit, nil)
--- a/internal/rtexchange/late.go
+++ b/internal/rtexchange/late.go
@@ -17,8 +17,9 @@
 // longAgo is a deadline that ends reads and writes at once.
 var longAgo = time.Unix(1, 0)
 
-// wait is the time until the first byte of a response.
-type wait struct {
+// firstByteWait is the wait for the first byte of a response. Until then nothing has been
+// consumed, so that somebody else can take over the connection.
+type firstByteWait struct {
 	connection net.Conn
 	abandons   bool // the end of the context leaves the connection open until the first byte
 
@@ -27,9 +28,9 @@
 	interrupted bool // by the end of the context
 }
 
-// forFirstByte waits for the first byte of a response. It reports whether the context has
-// ended before.
-func (w *wait) forFirstByte(h *head) bool {
+// waitFor waits for the first byte of a response if the connection may be taken over. It
+// reports whether the context has ended before.
+func (w *firstByteWait) waitFor(h *responseHead) bool {
 	if !w.abandons {
 		return false
 	}
@@ -47,7 +48,7 @@
 }
 
 // interrupt ends the exchange, or only the wait if somebody takes over the connection.
-func (w *wait) interrupt() {
+func (w *firstByteWait) interrupt() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.abandons || w.ended {
@@ -61,7 +62,7 @@
 // LateResponse is what may still arrive from a target whose request was abandoned.
 type LateResponse struct {
 	connection net.Conn
-	head       *head
+	head       *responseHead
 	method     string
 }
 
--- a/internal/rtgateway/crash.go
+++ b/internal/rtgateway/crash.go
@@ -116,20 +116,18 @@
 	if d.answerProven || !d.gateway.targetCrashed(ctx, target) {
 		return false
 	}
-	return d.gateway.recordCrash(target.ID, d.request, d.sent)
+	return d.gateway.recordCrash(target.ID, d.request.info.ID, d.request.allParts(), d.sent)
 }
 
-// recordCrash records a crash of a target as evidence against a request that it had,
-// which was sent at a time, and its parts. It reports whether one of them may be the
-// cause.
-func (g *Gateway) recordCrash(target rtid.Target, q *request, sent time.Time) bool {
-	parts := q.allParts()
+// recordCrash records a crash of a target as evidence against all parts of a request
+// that it had, which was sent at a time. It reports whether one of them may be the cause.
+func (g *Gateway) recordCrash(target rtid.Target, request rtid.Request, parts []rtid.Part, sent time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	quarantined := g.quarantine.RecordCrash(target, parts, sent, now)
 	unproven := g.quarantine.Unproven(parts, now)
-	g.log.Info("Target crashed.", "target", target, "request", q.info.ID, "whole", q.wholePart(), "suspects", unproven)
+	g.log.Info("Target crashed.", "target", target, "request", request, "whole", parts[len(parts)-1], "suspects", unproven)
 	g.logQuarantined(quarantined, "own", now)
 	g.onNews()
 	return len(unproven) > 0
--- a/internal/rtgateway/hedge.go
+++ b/internal/rtgateway/hedge.go
@@ -258,14 +258,16 @@
 		return
 	}
 	d.gateway.startCooldown(e.scheduled.Target.ID, e.err.Error())
-	if !notRun {
-		// The caller does not wait for the check of the target.
-		d.gateway.background.start(func(ctx context.Context) {
-			if d.gateway.targetCrashed(ctx, e.scheduled.Target) {
-				d.gateway.recordCrash(e.scheduled.Target.ID, d.request, e.sent)
-			}
-		})
+	if notRun {
+		return
 	}
+	// The caller does not wait for the check of the target.
+	id, parts := d.request.info.ID, d.request.allParts()
+	d.gateway.background.start(func(ctx context.Context) {
+		if d.gateway.targetCrashed(ctx, e.scheduled.Target) {
+			d.gateway.recordCrash(e.scheduled.Target.ID, id, parts, e.sent)
+		}
+	})
 }
 
 // hedge sends the request to another target if that is allowed, and returns the exchange,
--- a/internal/rtgateway/wholerequest.go
+++ b/internal/rtgateway/wholerequest.go
@@ -12,15 +12,17 @@
 // wholeRequestBytes is the length of the hash that stands for a whole request.
 const wholeRequestBytes = 16
 
-// allParts returns the parts of the prompt and the one that stands for the whole request.
+// allParts returns the parts of the prompt and, as the last one, that of the whole
+// request.
 func (q *request) allParts() []rtid.Part {
 	return append(slices.Clip(q.info.Parts), q.wholePart())
 }
 
 // wholePart returns the part that stands for the whole request. Requests have the same
-// one in all processes if their method, path, organisation, body and the shared parts of
-// their prompts are the same, whatever their IDs and other headers. It is a cryptographic hash, so that no caller can
-// find a request with the part of another organisation's request.
+// one in all processes if their method, host, path, organisation, body and the shared
+// parts of their prompts are the same, whatever their IDs and other headers. It is a
+// cryptographic hash, so that no caller can find a request with the part of another
+// organisation's request. The first call must precede the return of the body's memory.
 func (q *request) wholePart() rtid.Part {
 	if q.whole != "" {
 		return q.whole
--- a/internal/rtquarantine/check.go
+++ b/internal/rtquarantine/check.go
@@ -58,8 +58,8 @@
 	return verdict
 }
 
-// keptAway reports whether a suspect is in quarantine, or awaits a probe, and its crashes
-// are not those of another one.
+// keptAway reports whether a suspect is in quarantine, or awaits a probe, and no others
+// explain its crashes.
 func (r *Register) keptAway(s *suspect, now time.Time) bool {
 	return s.quarantined(now) && !r.explained(s, now)
 }
--- a/internal/rtquarantine/register.go
+++ b/internal/rtquarantine/register.go
@@ -70,10 +70,10 @@
 // concurrent use.
 //
 // Callers pass all parts of a prompt except the last, which belongs to one
-// request, and the part that stands for the whole request. Memory is bounded. Suspects that stand beside the fewest crashes are
-// dropped first, of these the ones whose last crash is the oldest, so that fresh
-// parts never displace a part in quarantine. Of the sound parts the oldest are
-// dropped first.
+// request, and the part that stands for the whole request. Memory is bounded.
+// Suspects that stand beside the fewest crashes are dropped first, of these the ones
+// whose last crash is the oldest, so that fresh parts never displace a part in
+// quarantine. Of the sound parts the oldest are dropped first.
 type Register struct {
 	suspects map[rtid.Part]*suspect // at most maxSuspects
 	wholes   int                    // of these that stand for whole requests
@@ -206,6 +206,7 @@
 	}
 }
 
+// remove forgets the evidence about a part.
 func (r *Register) remove(part rtid.Part) {
 	if r.suspects[part].whole {
 		r.wholes--
