--- a/internal/rtgateway/hedge_test.go
+++ b/internal/rtgateway/hedge_test.go
@@ -185,3 +185,20 @@
 		}
 	})
 }
+
+// Guards against a crash that is no evidence because another attempt of the request has
+// answered.
+func TestCrashUnderSlowerAttempt(t *testing.T) {
+	withTestbed(t, 3, func(b *testbed) {
+		useHedging(b, 0.2)
+		crash := func(_ net.Conn, r *run) { r.target.reset() }
+		b.inTurn(after(hedgeAfter+50*time.Millisecond, crash), after(100*time.Millisecond, answerOK))
+		if got := b.call(http.MethodPost, "/safe/x", headers("slow"), "body"); got.status != http.StatusOK {
+			b.t.Errorf("got status %d, error %v, want an answer", got.status, got.err)
+		}
+		time.Sleep(checkTimeout) // the caller does not wait for the check of the target
+		if lines := b.logged("Target crashed."); len(lines) != 1 {
+			b.t.Errorf("%d crashes recorded, want that of the first target: %q", len(lines), lines)
+		}
+	})
+}
