Keep the check of a target away from answers without memory

While memory for long answers is short, an attempt that gets none waited for the check, some 20 ms, with the memory it had, so that no other one got enough.

--- a/internal/rtexchange/budget.go
+++ b/internal/rtexchange/budget.go
@@ -15,9 +15,9 @@
 	uncountedCapacity = 64 << 10
 )
 
-// errNoBudget means that the bodies of all responses together use too much
+// ErrNoBudget means that the bodies of all responses together use too much
 // memory.
-var errNoBudget = errors.New("responses use more memory than allowed")
+var ErrNoBudget = errors.New("responses use more memory than allowed")
 
 // Budget limits the memory of all bodies and events that are read with it. A body
 // counts until its response is closed, or longer if KeepMemory says so, and so does the
@@ -72,7 +72,7 @@
 		return nil
 	}
 	if !r.budget.take(more) {
-		return errNoBudget
+		return ErrNoBudget
 	}
 	r.reserved += more
 	return nil
--- a/internal/rtexchange/budget_test.go
+++ b/internal/rtexchange/budget_test.go
@@ -35,16 +35,16 @@
 	}
 	for range 3 {
 		second := bodyOf(t, long)
-		if _, err := second.ReadAll(limit, budget); !errors.Is(err, errNoBudget) {
-			t.Errorf("got error %v while the budget is used, want %v", err, errNoBudget)
+		if _, err := second.ReadAll(limit, budget); !errors.Is(err, ErrNoBudget) {
+			t.Errorf("got error %v while the budget is used, want %v", err, ErrNoBudget)
 		}
 		second.release()
 		events := streamOf("id: 1\n\n"+strings.Repeat("x", long)+"\n\n", io.EOF)
 		if _, err := events.NextEvent(budget); err != nil {
 			t.Errorf("short event: %v", err)
 		}
-		if _, err := events.NextEvent(budget); !errors.Is(err, errNoBudget) {
-			t.Errorf("long event: got error %v while the budget is used, want %v", err, errNoBudget)
+		if _, err := events.NextEvent(budget); !errors.Is(err, ErrNoBudget) {
+			t.Errorf("long event: got error %v while the budget is used, want %v", err, ErrNoBudget)
 		}
 		events.release()
 		if body, err := bodyOf(t, short).ReadAll(limit, budget); err != nil || len(body) != short {
--- a/internal/rtgateway/delivery.go
+++ b/internal/rtgateway/delivery.go
@@ -551,7 +551,8 @@
 		return result{outcome: rtdelivery.NotSent, detail: detail}
 	default:
 		d.gateway.startCooldown(target.ID, detail)
-		if d.suspectOfCrash(ctx, target) {
+		// Without memory for the answer, this process has broken it off.
+		if !errors.Is(err, rtexchange.ErrNoBudget) && d.suspectOfCrash(ctx, target) {
 			return result{outcome: rtdelivery.Crashed, detail: detail}
 		}
 		return result{outcome: rtdelivery.Lost, detail: detail}
